--- /dev/null
+++ b/meadowworks/host.py
@@ -0,0 +1,83 @@
+"""What the decision module is handed: its settings, the list's entries, and the host that it acts through.
+
+Only types live here. A protocol's adapter builds `Settings`, implements `Host` and calls the methods of
+`meadowworks.rules.Controller`. Backends, zones and routes are small indices given out by the adapter; proxies
+and tables keep their numbers. All times are whole nanoseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+ALL_TABLES = 65535  # the table number that stands for every joined proxy (levels only)
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A row a route: what the module reads of it."""
+
+    importance: float
+    slo_ns: int
+    limit_ns: int
+    repeatable: bool
+    keyed_anywhere_ns: int  # how long any backend drops repeats of a key; 0: not at all, or only in a part
+    home_only: bool
+    writes: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    routes: tuple[Route, ...]
+    zones: int
+    position: int
+    controllers: int
+    proxies: int
+    subscribe: bool
+    ask_within_ns: int
+    level_kind: str  # share, rate or silent
+    base_retry: int
+    report_ns: int
+    reports: bool
+    probes: bool
+    fixed_weights: bool
+    channel_rate: float
+    queue_cap: float
+    head: float
+    messages_most: int
+    messages_over_ns: int
+    delay_ns: int
+    delay_most_ns: int
+    bare_ns: int
+    grace_ns: int
+    cold_share: float
+    cold_ns: int
+    tip_multiple: float
+    slices: int
+    exclusive: bool
+    lease_ns: int
+    in_flight_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One backend as a list names it."""
+
+    backend: int
+    zone: int
+    state: str  # ready, draining or gone
+    since_ns: int
+    weight: float
+
+
+class Host(Protocol):
+    """What the module may do. Orders given while one event is handled travel together."""
+
+    def record(self, line: str) -> None: ...
+    def track(self, on: bool) -> None: ...
+    def wake_in(self, wait_ns: int) -> None: ...
+    def probe(self, backend: int) -> None: ...
+    def set_line(self, table: int, backend: int, weight: float) -> None: ...
+    def bind(self, routes: int, proxy: int, table: int) -> None: ...
+    def withdraw(self, backend: int, out: bool) -> None: ...
+    def admit(self, table: int, routes: int, level: float, retry: int) -> None: ...
--- /dev/null
+++ b/meadowworks/rules.py
@@ -0,0 +1,424 @@
+"""All decisions of a meadowworks controller.
+
+An adapter builds one `Controller` for each instance, hands it a host (`meadowworks/host.py` holds that
+interface and all types) and calls one method for each thing that happens, with the clock in nanoseconds.
+The controller acts by calling the host; whatever it orders while one call is handled leaves together.
+"""
+
+from __future__ import annotations
+
+import heapq
+import zlib
+from collections import deque
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from statistics import median
+
+from meadowworks.host import Entry, Host, Settings
+
+SECOND = 1_000_000_000
+# The design's own figures (docs/design.md): tolerance and clamp of a view, its gain and its cap.
+TOLERANCE = 2.0
+LEAST_CUT = 0.5
+GAIN = 0.1
+CAP = 2.0
+WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
+FLOOR = 0.1  # a level never falls below this
+PACE_NS = SECOND  # ordinary orders to one zone come at most this often
+FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
+LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
+RAMP_COLD = 2.0  # a new server rises over so many cold times: 30 s where a server is warm after 15
+RAMP = ((0.0, 0.1), (0.2, 0.3), (0.45, 0.6), (0.75, 1.0))  # (part of that time, part of the listed weight)
+
+TICKS_A_REPORT = 2  # half a report period is the longest that news waits to be acted on
+CHANNEL_TRUST = 0.5  # the channel may run at half its stated rate without the queue passing its cap
+KEEP_DRAIN, KEEP_GUARD, KEEP_USUAL = 0.1, 0.3, 0.5  # parts of the caps that orders of a kind leave free
+ASK_PART = 0.05  # first wait after a list call failed, of the time within which to ask; doubled each time
+ASK_MOST = 0.4  # longest such wait: two failures in a row still fit into that time
+
+HALF_REPORTS = 2.0  # what was heard of a backend counts half after so many reports
+LEAST_BAD = 3.0  # dropped tries before a verdict
+BAD_SHARE = 0.3  # dropped share above the fleet's median that makes a suspect
+OUT_MOST = 0.34  # of a table's weight that may be withdrawn
+OUT_REPORTS = 8.0  # a suspect stays out so many reports, twice as long each time it fails its trial
+OUT_DOUBLES = 3
+TRIAL_REPORTS = 8.0  # and then gets the new server's share for so many
+
+
+@dataclass(slots=True)
+class Backend:
+    zone: int
+    weight: float
+    since_ns: int
+    ready: bool = True
+    out: bool = False  # withdrawn by the health guard
+    strikes: int = 0
+    trial_ns: int = 0  # until then on a small share, to prove itself
+    tries: float = 0.0  # heard of late, fading
+    bad: float = 0.0
+    heard_ns: int = 0
+
+
+@dataclass(slots=True)
+class Proxy:
+    zone: int
+    usual: float
+    bound: bool = False
+    sent: deque[int] = field(default_factory=deque)  # when messages went to it, newest last
+    asked: dict[int, tuple[float, int]] = field(default_factory=dict)  # calls a second by route, and when
+
+
+@dataclass(slots=True)
+class View:
+    """What one zone of proxies makes of the backends all together."""
+
+    calls: float = -1.0  # under 0: nothing heard yet
+    lows: deque[tuple[int, int]] = field(default_factory=deque)  # (when, latency), rising latencies
+    lines: dict[int, tuple[float, float, int]] = field(default_factory=dict)  # good a second, latency, until
+    fresh: bool = False
+
+
+class Controller:
+    def __init__(self, host: Host, settings: Settings, seed: int, now_ns: int) -> None:
+        self.host, self.set, self.seed = host, settings, seed
+        self.count = 0
+        self.born_ns = now_ns
+        self.backends: dict[int, Backend] = {}
+        self.proxies: dict[int, Proxy] = {}
+        homes = [k for k, r in enumerate(settings.routes) if r.home_only]
+        usual = [k for k in range(len(settings.routes)) if k not in homes]
+        # One table a zone; routes confined to their zone have another beside it, never filled from outside.
+        self.groups = [(sum(1 << k for k in part), part is homes) for part in (usual, homes) if part]
+        self.tables: list[dict[int, float]] = [{} for _ in range(settings.zones * len(self.groups))]
+        self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in self.tables]
+        self.views = [View() for _ in range(settings.zones)]
+        self.paced = [-SECOND] * settings.zones
+        self.due: list[tuple[int, int, str, int]] = []
+        self.queue, self.queue_ns = 0.0, now_ns
+        self.failures = 0
+        self.slices: dict[int, dict[int, float]] = {}
+        self.tick_ns = settings.report_ns // TICKS_A_REPORT
+        host.wake_in(self.tick_ns)
+        if settings.subscribe:
+            host.track(True)
+
+    # -- chance, due times, the channel
+
+    def chance(self) -> float:
+        self.count += 1
+        return zlib.crc32(f"{self.seed}:{self.count}".encode()) / 2**32
+
+    def later(self, when_ns: int, what: str, backend: int = -1) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (when_ns, self.count, what, backend))
+
+    def waiting(self, now: int) -> float:
+        """Lines that may still wait in the channel, taking it to run slower than stated."""
+        gone = (now - self.queue_ns) / SECOND * self.set.channel_rate * CHANNEL_TRUST
+        self.queue, self.queue_ns = max(0.0, self.queue - gone), now
+        return self.queue
+
+    def room(self, now: int, proxies: Iterable[Proxy], lines: float, keep: float) -> bool:
+        """Whether so many lines to each of these fit, leaving a part of the caps to dearer orders.
+
+        Guards the short queue and the cap on messages; what does not fit is found undone by the next tick."""
+        cost, most = 0.0, self.set.messages_most * (1 - keep)
+        for proxy in proxies:
+            known = bool(proxy.sent) and proxy.sent[-1] == now
+            cost += lines + (0 if known else self.set.head)
+            while proxy.sent and proxy.sent[0] <= now - self.set.messages_over_ns:
+                proxy.sent.popleft()
+            if most and len(proxy.sent) + (not known) > most:
+                return False
+        return self.waiting(now) + cost <= self.set.queue_cap * (1 - keep)
+
+    def charge(self, now: int, proxies: Iterable[Proxy], lines: float) -> None:
+        self.waiting(now)
+        for proxy in proxies:
+            if not proxy.sent or proxy.sent[-1] != now:
+                proxy.sent.append(now)
+                self.queue += self.set.head
+            self.queue += lines
+
+    # -- the list
+
+    def listed(self, now: int, how: str, entries: Sequence[Entry]) -> None:
+        if how == "error":  # the old list stands; ask again, each time later and never all at once
+            wait = min(ASK_MOST, ASK_PART * 2**self.failures) * self.set.ask_within_ns
+            self.failures += 1
+            return self.later(now + int(wait * (0.5 + self.chance())), "ask")
+        self.failures = 0
+        if how != "changes":
+            named = {entry.backend for entry in entries}
+            for place, backend in self.backends.items():
+                backend.ready = backend.ready and place in named
+        for entry in entries:
+            known = self.backends.get(entry.backend)
+            if known is None:
+                known = self.backends[entry.backend] = Backend(entry.zone, entry.weight, entry.since_ns)
+            elif entry.since_ns > known.since_ns:  # a start, under whatever name: what was known is void
+                known.since_ns, known.strikes, known.trial_ns = entry.since_ns, 0, 0
+                known.tries = known.bad = 0.0
+            known.zone, known.ready = entry.zone, entry.state == "ready"
+            if self.set.fixed_weights:
+                known.weight = entry.weight
+            for part, _ in RAMP[1:]:
+                step = entry.since_ns + int(part * RAMP_COLD * self.set.cold_ns)
+                if entry.since_ns and step > now:
+                    self.later(step, "step")
+        self.settle(now)
+
+    # -- tables
+
+    def part(self, now: int, backend: Backend) -> float:
+        """The part of its listed weight that a server gets: less while it is new or on trial."""
+        if now < backend.trial_ns:
+            return RAMP[0][1]
+        if not backend.since_ns:
+            return 1.0
+        age = (now - backend.since_ns) / (RAMP_COLD * self.set.cold_ns)
+        return max((share for start, share in RAMP if age >= start), default=RAMP[0][1])
+
+    def wanted(self, now: int, zone: int, home: bool) -> dict[int, float]:
+        ready = {place: b for place, b in self.backends.items() if b.ready}
+        own = {place: b for place, b in ready.items() if b.zone == zone}
+        if not own and not home:
+            own = ready
+        return {place: max(b.weight, 1e-3) * self.part(now, b) for place, b in own.items()}
+
+    def of_zone(self, zone: int) -> list[Proxy]:
+        return [p for p in self.proxies.values() if p.zone == zone and p.bound]
+
+    def zone_tables(self, zone: int) -> Iterator[tuple[int, int, bool]]:
+        for place, (routes, home) in enumerate(self.groups):
+            yield zone * len(self.groups) + place, routes, home
+
+    def settle(self, now: int) -> None:
+        """Brings each zone's tables to what the list asks for; a line that must go leaves at once."""
+        if self.set.slices:
+            return self.settle_slices(now)
+        for zone in range(self.set.zones):
+            todo, drains = [], False
+            for table, _, home in self.zone_tables(zone):
+                have, want = self.tables[table], self.wanted(now, zone, home)
+                todo += [(table, p, w) for p, w in want.items() if abs(have.get(p, 0.0) - w) > 1e-9]
+                todo += [(table, p, 0.0) for p in have if p not in want]
+                drains = drains or any(not self.backends[p].ready for p in have)
+            users = self.of_zone(zone)
+            if not todo or not self.room(now, users, len(todo), KEEP_DRAIN if drains else KEEP_USUAL):
+                continue
+            if users and not drains and now - self.paced[zone] < PACE_NS:
+                continue
+            self.paced[zone] = now
+            self.charge(now, users, len(todo))
+            for table, place, weight in todo:
+                self.host.set_line(table, place, weight)
+                if weight:
+                    self.tables[table][place] = weight
+                else:
+                    del self.tables[table][place]
+        for place, backend in self.backends.items():
+            if backend.out and not any(place in table for table in self.tables):
+                backend.out = False  # in no table: lifting costs no line, and its return is not held up
+                self.host.withdraw(place, False)
+
+    # -- proxies
+
+    def joined(self, now: int, number: int, zone: int, usual: float) -> None:
+        self.proxies[number] = Proxy(zone, usual)
+        self.bind(now, number)
+
+    def bind(self, now: int, number: int) -> None:
+        """Puts a proxy on its zone's tables; until then it lives on what it holds."""
+        proxy = self.proxies[number]
+        tables = list(self.zone_tables(proxy.zone))
+        if self.set.slices or proxy.bound or not any(self.tables[t] for t, _, _ in tables):
+            return
+        lines = sum(1 + len(self.tables[t]) + len(self.levels[t]) for t, _, _ in tables)
+        lines += sum(b.out for b in self.backends.values())
+        if self.room(now, [proxy], lines, KEEP_GUARD):
+            proxy.bound = True
+            self.charge(now, [proxy], lines)
+            for table, routes, _ in tables:
+                self.host.bind(routes if len(tables) > 1 else 0, number, table)
+
+    def left(self, now: int, number: int) -> None:
+        self.proxies.pop(number, None)
+
+    # -- reports
+
+    def heard(self, now: int, zone: int, place: int, tries: int, bad: int, latency_ns: int, covers_ns: int,
+              load: dict[str, float]) -> None:
+        backend = self.backends.get(place)
+        if backend is None or covers_ns <= 0:
+            return
+        fade = 0.5 ** ((now - backend.heard_ns) / (HALF_REPORTS * self.set.report_ns))
+        backend.tries, backend.bad = backend.tries * fade + tries, backend.bad * fade + bad
+        backend.heard_ns = now
+        view = self.views[zone]
+        # Only good answers count, so quick errors lift nothing; rates come from what a line covers, so late
+        # bundles are no jump.
+        until = now + 2 * max(covers_ns, self.set.report_ns)
+        view.lines[place] = (tries - bad) * SECOND / covers_ns, latency_ns, until
+        view.fresh = True
+
+    def asked(self, now: int, number: int, route: int, calls: int, dropped: int, covers_ns: int) -> None:
+        proxy = self.proxies.get(number)
+        if proxy is not None and covers_ns > 0:
+            rate = calls * SECOND / covers_ns
+            proxy.asked[route] = (rate + proxy.asked.get(route, (rate, 0))[0]) / 2, now
+
+    def probed(self, now: int, place: int, good: bool, latency_ns: int) -> None:
+        """Nothing is asked of probes yet."""
+
+    # -- the one timer
+
+    def tick(self, now: int) -> None:
+        self.host.wake_in(self.tick_ns)
+        while self.due and self.due[0][0] <= now:
+            _, _, what, place = heapq.heappop(self.due)
+            if what == "ask":
+                self.host.track(True)
+            elif what == "trial":
+                self.trial(now, place)
+        self.settle(now)
+        for number in self.proxies:
+            self.bind(now, number)
+        if not self.set.slices and self.set.reports:
+            self.judge(now)
+            self.spend(now)
+
+    # -- health
+
+    def users(self, place: int) -> list[Proxy]:
+        zones = {t // len(self.groups) for t, table in enumerate(self.tables) if place in table}
+        return [p for p in self.proxies.values() if p.bound and p.zone in zones]
+
+    def judge(self, now: int) -> None:
+        """Withdraws the backends that drop far more of their tries than the fleet does."""
+        met = [(p, b) for p, b in self.backends.items() if b.ready and b.tries > LEAST_BAD]
+        shares = sorted((b.bad / b.tries, p) for p, b in met)
+        usual = median(share for share, _ in shares) if shares else 0.0
+        for share, place in reversed(shares):
+            backend = self.backends[place]
+            if share < usual + BAD_SHARE:  # if all are ill, none is
+                break
+            if backend.out or backend.bad < LEAST_BAD or not self.spare(now, place):
+                continue
+            users = self.users(place)
+            if not self.room(now, users, 1, KEEP_GUARD):
+                continue
+            self.charge(now, users, 1)
+            backend.out = True
+            self.host.withdraw(place, True)
+            self.host.record(f"suspect {place} withdrawn: drops {share:.0%}, the fleet {usual:.0%}")
+            wait = OUT_REPORTS * 2 ** min(backend.strikes, OUT_DOUBLES) * (0.75 + self.chance() / 2)
+            backend.strikes += 1
+            self.later(now + int(wait * self.set.report_ns), "trial", place)
+
+    def spare(self, now: int, place: int) -> bool:
+        """Whether every table that names this backend keeps enough without it, and a warm line."""
+        for table in self.tables:
+            if place not in table:
+                continue
+            left = {p: w for p, w in table.items() if p != place and not self.backends[p].out}
+            warm = any(now - self.backends[p].since_ns >= self.set.cold_ns for p in left)
+            if not warm or sum(left.values()) < (1 - OUT_MOST) * sum(table.values()):
+                return False
+        return True
+
+    def trial(self, now: int, place: int) -> None:
+        """Lets a suspect back on a new server's share; a further failure takes it out for longer."""
+        backend = self.backends[place]
+        if not backend.out:
+            return
+        users = self.users(place)
+        if not self.room(now, users, 2, KEEP_GUARD):
+            return self.later(now + self.tick_ns, "trial", place)
+        self.charge(now, users, 2)
+        backend.out, backend.tries, backend.bad = False, 0.0, 0.0
+        backend.trial_ns = now + int(TRIAL_REPORTS * self.set.report_ns)
+        for table in self.tables:
+            if place in table:
+                table_weight = max(backend.weight, 1e-3) * self.part(now, backend)
+                table[place] = table_weight
+                self.host.set_line(self.tables.index(table), place, table_weight)
+        self.host.withdraw(place, False)
+        self.host.record(f"suspect {place} on trial")
+
+    # -- levels
+
+    def estimate(self, now: int) -> float:
+        """The median of the zones' views of what all backends can answer, in calls a second."""
+        for view in self.views:
+            view.lines = {p: line for p, line in view.lines.items() if line[2] > now}
+        total = sum(rate for view in self.views for rate, _, _ in view.lines.values())
+        for view in self.views:
+            good = sum(rate for rate, _, _ in view.lines.values())
+            if view.fresh and good > 0:
+                view.fresh = False
+                latency = int(sum(rate * lag for rate, lag, _ in view.lines.values()) / good)
+                while view.lows and view.lows[-1][1] >= latency:
+                    view.lows.pop()
+                view.lows.append((now, latency))
+                while view.lows[0][0] < now - WINDOW_NS:
+                    view.lows.popleft()
+                cut = min(1.0, max(LEAST_CUT, TOLERANCE * view.lows[0][1] / max(latency, 1)))
+                old = view.calls if view.calls >= 0 else CAP * total
+                view.calls = min(CAP * total, old * cut + GAIN * total)
+        known = [view.calls for view in self.views if view.calls >= 0]
+        return median(known) if known else -1.0
+
+    def spend(self, now: int) -> None:
+        """One budget over all routes, the more important first; levels go out on change."""
+        budget = self.estimate(now)
+        if now - self.born_ns < FRESH_NS or budget < 0:
+            return
+        asked = [0.0] * len(self.set.routes)
+        for proxy in self.proxies.values():
+            for route, (rate, _) in proxy.asked.items():
+                asked[route] += rate
+        levels = [1.0] * len(asked)
+        left = budget
+        for importance in sorted({r.importance for r in self.set.routes}, reverse=True):
+            same = [k for k, r in enumerate(self.set.routes) if r.importance == importance]
+            calls = sum(asked[k] for k in same)
+            level = max(FLOOR, min(1.0, left / calls)) if calls else 1.0
+            left = max(0.0, left - level * calls)
+            for k in same:
+                levels[k] = round(level / LEVEL_STEP) * LEVEL_STEP
+        for zone in range(self.set.zones):
+            self.send_levels(now, zone, levels)
+
+    def send_levels(self, now: int, zone: int, levels: list[float]) -> None:
+        users = self.of_zone(zone)
+        for table, routes, _ in self.zone_tables(zone):
+            held = self.levels[table]
+            want = {k: (level, 1) for k, level in enumerate(levels) if routes >> k & 1}
+            moved: dict[tuple[float, int], int] = {}
+            for k, grant in want.items():
+                if held.get(k, (1.0, self.set.base_retry)) != grant:
+                    moved[grant] = moved.get(grant, 0) | 1 << k
+            if not moved or not users or now - self.paced[zone] < PACE_NS:
+                continue
+            if not self.room(now, users, len(moved), KEEP_USUAL):
+                continue
+            self.paced[zone] = now
+            self.charge(now, users, len(moved))
+            for (level, retry), mask in moved.items():
+                self.host.admit(table, mask, level, retry)
+            held.update(want)
+
+    # -- sites with slices: no tuning, no rule broken
+
+    def slice_given(self, now: int, number: int, on: bool) -> None:
+        self.slices.pop(number, None)
+        if on:
+            self.slices[number] = {}
+
+    def slice_line(self, now: int, number: int, place: int, weight: float) -> None:
+        if number in self.slices:
+            self.slices[number][place] = weight
+
+    def settle_slices(self, now: int) -> None:
+        pass
--- /dev/null
+++ b/meadowworks/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire as a host of the decision module."""
--- /dev/null
+++ b/meadowworks/wirehost/wire.py
@@ -0,0 +1,185 @@
+"""One line of the wire becomes one call on the module; what it answers becomes lines of the reply."""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable, Iterator
+from itertools import chain
+from typing import TextIO
+
+from meadowworks.host import Entry
+from meadowworks.rules import Controller
+from meadowworks.wirehost.settings import Missing, read
+
+STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
+LISTS = {"diff": "changes", "snapshot": "whole", "disk": "disk", "error": "error"}
+EVENTS = {  # values after the name; a row of two figures gives the least and the most
+    "DOWN": (1, 1), "SPAWN": (3, 1 << 20), "TOPOLOGY": (4, 4), "ELAPSED": (2, 2), "PROBED": (5, 5),
+    "FROM_PEER": (3, 3), "CONNECTED": (5, 5), "LEFT": (2, 2), "STATS": (8, 8), "DEMAND": (6, 6),
+    "HOTNESS": (6, 6), "TENURE": (3, 3), "STANDING_LINE": (4, 4), "INSTALLED": (4, 4),
+}
+
+
+class Malformed(Exception):
+    """Input that the wire does not allow; the text says what and where."""
+
+
+class Instance:
+    """The host of one controller: gives out indices at the door and writes orders straight to the reply."""
+
+    def __init__(self, name: str, seed: int, options: dict[str, str], out: list[str], now_ns: int) -> None:
+        self.name, self.out = name, out
+        settings, self.zones, self.routes = read(options)
+        self.backends: dict[str, int] = {}
+        self.addresses: list[str] = []
+        self.metrics = options.get("feedback.names", "").split(",")
+        self.module = Controller(self, settings, seed, now_ns)
+
+    def index(self, address: str) -> int:
+        known = self.backends.get(address)
+        if known is None:
+            known = self.backends[address] = len(self.addresses)
+            self.addresses.append(address)
+        return known
+
+    def load(self, text: str) -> dict[str, float]:
+        if text in ("-", ""):
+            return {}
+        return {part.split(":")[0]: float(part.split(":")[1]) for part in text.split(",")}
+
+    def record(self, line: str) -> None:
+        self.out.append(f"RECORD\t{self.name}\t{line}")
+
+    def track(self, on: bool) -> None:
+        self.out.append(f"TRACK\t{self.name}\t{int(on)}")
+
+    def wake_in(self, wait_ns: int) -> None:
+        self.out.append(f"WAKE_ME\t{self.name}\t{wait_ns // 1000}\ttick")
+
+    def probe(self, backend: int) -> None:
+        self.out.append(f"SAMPLE\t{self.name}\t{self.addresses[backend]}")
+
+    def set_line(self, table: int, backend: int, weight: float) -> None:
+        self.out.append(f"UPSERT\t{self.name}\t{table}\t{self.addresses[backend]}\t{weight:.6g}")
+
+    def bind(self, routes: int, proxy: int, table: int) -> None:
+        self.out.append(f"SUBSCRIBE_TO\t{self.name}\t{routes}\t{proxy}\t{table}")
+
+    def withdraw(self, backend: int, out: bool) -> None:
+        self.out.append(f"MASK\t{self.name}\t{self.addresses[backend]}\t{int(out)}")
+
+    def admit(self, table: int, routes: int, level: float, retry: int) -> None:
+        self.out.append(f"ADMIT\t{self.name}\t{table}\t{routes}\t{level:.4f}\t{retry}")
+
+
+def serve(source: TextIO, sink: TextIO) -> None:
+    """Answers batch after batch until the input ends."""
+    out: list[str] = []
+    instances: dict[str, Instance] = {}
+    numbered = enumerate((line.rstrip("\r\n") for line in source), 1)
+    for at, line in numbered:
+        if not line:
+            continue
+        parts = line.split("\t")
+        if parts[0] != "FRAME" or len(parts) != 2 or not parts[1].isdigit():
+            raise Malformed(f"line {at}: a batch opens with FRAME and its clock, not {line[:80]!r}")
+        batch(int(parts[1]) * 1000, numbered, instances, out)
+        out.append("DONE")
+        sink.write("\n".join(out) + "\n")
+        sink.flush()
+        out.clear()
+
+
+def batch(
+    now_ns: int, lines: Iterator[tuple[int, str]], instances: dict[str, Instance], out: list[str]
+) -> None:
+    broken: set[str] = set()
+    for at, line in lines:
+        parts = line.split("\t")
+        kind = parts[0]
+        if kind == "YOUR_TURN":
+            return
+        shape = EVENTS.get(kind)
+        if shape is None:
+            raise Malformed(f"line {at}: unknown event {kind[:40]!r}")
+        if not shape[0] <= len(parts) - 1 <= shape[1]:
+            raise Malformed(f"line {at}: {kind} has {len(parts) - 1} values")
+        name = parts[1]
+        try:
+            entries = list_lines(parts, lines) if kind == "TOPOLOGY" else []
+            if kind == "SPAWN":
+                options = dict(pair.partition("=")[::2] for pair in chain(parts[3:]))
+                instances[name] = Instance(name, int(parts[2]), options, out, now_ns)
+                continue
+            if kind == "DOWN":
+                instances.pop(name, None)
+                continue
+            if name not in instances:
+                raise Malformed(f"line {at}: {kind} for {name!r}, which has not started")
+            call = prepare(instances[name], kind, parts, entries)
+        except Malformed:
+            raise
+        except (Missing, ValueError, KeyError, IndexError) as trouble:
+            raise Malformed(f"line {at}: {kind}: {trouble}") from trouble
+        if name in broken:
+            continue
+        try:
+            call(now_ns)
+        except Exception as trouble:  # the module's own fault: said on the wire, with its place
+            broken.add(name)
+            where = traceback.extract_tb(trouble.__traceback__)[-1]
+            cause = f"{type(trouble).__name__}: {trouble}".replace("\n", " ")
+            out.append(f"BUG\t{name}\t{cause} ({where.name}, line {where.lineno})")
+    raise Malformed("the input ends inside a batch")
+
+
+def list_lines(parts: list[str], lines: Iterator[tuple[int, str]]) -> list[list[str]]:
+    found = []
+    for _ in range(int(parts[4]) if parts[4] != "-" else 0):
+        at, line = next(lines, (0, ""))
+        entry = line.split("\t")
+        if entry[0] != "BACKEND" or len(entry) != 8:
+            raise Malformed(f"line {at}: a list entry was due, not {line[:80]!r}")
+        found.append(entry)
+    return found
+
+
+def prepare(host: Instance, kind: str, v: list[str], entries: list[list[str]]) -> Callable[[int], None]:
+    """The call that a line stands for, waiting for the clock."""
+    module = host.module
+    match kind:
+        case "TOPOLOGY":
+            listed = [
+                Entry(host.index(e[5]), host.zones[e[6]], STATES[e[2]],
+                      0 if e[3] == "-" else int(e[3]) * 1000, 1.0 if e[7] == "-" else float(e[7]))
+                for e in entries
+            ]
+            how = LISTS[v[2]]
+            return lambda now: module.listed(now, how, listed)
+        case "ELAPSED":
+            return module.tick
+        case "PROBED":
+            backend, good, lag = host.backends[v[2]], v[3] == "done", int(v[4]) * 1000
+            return lambda now: module.probed(now, backend, good, lag)
+        case "CONNECTED":
+            proxy, zone, usual = int(v[2]), host.zones[v[3]], 0.0 if v[4] == "-" else float(v[4])
+            return lambda now: module.joined(now, proxy, zone, usual)
+        case "LEFT":
+            proxy = int(v[2])
+            return lambda now: module.left(now, proxy)
+        case "STATS":
+            zone, backend, load = host.zones[v[2]], host.backends[v[3]], host.load(v[8])
+            tries, bad, latency, covers = int(v[4]), int(v[5]), int(v[6]) * 1000, int(v[7]) * 1000
+            return lambda now: module.heard(now, zone, backend, tries, bad, latency, covers, load)
+        case "DEMAND":
+            proxy, route, calls, dropped, covers = (
+                int(v[2]), host.routes[v[3]], int(v[4]), int(v[5]), int(v[6]) * 1000)
+            return lambda now: module.asked(now, proxy, route, calls, dropped, covers)
+        case "TENURE":
+            number, on = int(v[2]), v[3] == "1"
+            return lambda now: module.slice_given(now, number, on)
+        case "STANDING_LINE":
+            number, backend, weight = int(v[2]), host.index(v[3]), float(v[4])
+            return lambda now: module.slice_line(now, number, backend, weight)
+        case _:  # peers, marks and heat by slice: legal, and nothing that the module reads
+            return lambda now: None
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,137 @@
+"""A host that notes what the module orders, and settings of a small made-up deployment."""
+
+from __future__ import annotations
+
+from meadowworks.host import ALL_TABLES, Entry, Route, Settings
+from meadowworks.rules import Controller
+
+SECOND = 1_000_000_000
+ROUTES = (
+    Route(2.0, SECOND, 4 * SECOND, True, 0, False, False),
+    Route(1.0, SECOND, 2 * SECOND, True, 0, False, False),
+    Route(2.0, SECOND, 3 * SECOND, False, 0, False, True),
+)
+SETTINGS = Settings(
+    routes=ROUTES, zones=2, position=0, controllers=1, proxies=6, subscribe=True, ask_within_ns=10 * SECOND,
+    level_kind="share", base_retry=1, report_ns=SECOND // 2, reports=True, probes=False, fixed_weights=True,
+    channel_rate=800.0, queue_cap=1600.0, head=10.0, messages_most=20, messages_over_ns=10 * SECOND,
+    delay_ns=SECOND // 8, delay_most_ns=SECOND // 3, bare_ns=5 * SECOND, grace_ns=2 * SECOND, cold_share=0.3,
+    cold_ns=15 * SECOND, tip_multiple=2.5, slices=0, exclusive=False, lease_ns=2 * SECOND,
+    in_flight_ns=2 * SECOND,
+)
+
+
+class Fleet:
+    """Stands for the proxies: applies orders to tables as they would, and keeps count of messages."""
+
+    def __init__(self, settings: Settings = SETTINGS, now: int = 100 * SECOND) -> None:
+        self.now, self.settings = now, settings
+        self.tables: dict[int, dict[int, float]] = {}
+        self.levels: dict[tuple[int, int], tuple[float, int]] = {}
+        self.bound: dict[int, dict[int, int]] = {}  # proxy: table by route
+        self.held: dict[int, set[int]] = {}  # what a proxy that is not bound may still send to
+        self.out: set[int] = set()
+        self.records: list[str] = []
+        self.tracks: list[int] = []
+        self.heads: dict[int, list[int]] = {}
+        self.lines: list[tuple[int, float]] = []
+        self.module = Controller(self, settings, 7, now)
+
+    def cost(self, table: int | None, lines: float, proxy: int | None = None) -> None:
+        for p, tables in self.bound.items():
+            if p == proxy or (table is not None and (table == ALL_TABLES or table in tables.values())):
+                sent = self.heads.setdefault(p, [])
+                if not sent or sent[-1] != self.now:
+                    sent.append(self.now)
+                    self.lines.append((self.now, self.settings.head))
+                self.lines.append((self.now, lines))
+
+    def record(self, line: str) -> None:
+        self.records.append(line)
+
+    def track(self, on: bool) -> None:
+        self.tracks.append(self.now)
+
+    def wake_in(self, wait_ns: int) -> None:
+        assert wait_ns > 0
+
+    def probe(self, backend: int) -> None:
+        assert self.settings.probes
+
+    def set_line(self, table: int, backend: int, weight: float) -> None:
+        lines = self.tables.setdefault(table, {})
+        lines[backend] = weight
+        if weight == 0:
+            del lines[backend]
+        self.cost(table, 1)
+
+    def bind(self, routes: int, proxy: int, table: int) -> None:
+        for k in range(len(self.settings.routes)):
+            if not routes or routes >> k & 1:
+                self.bound[proxy][k] = table
+        self.held.pop(proxy, None)
+        self.cost(None, 1 + len(self.tables.get(table, {})) + len(self.out), proxy)
+
+    def withdraw(self, backend: int, out: bool) -> None:
+        (self.out.add if out else self.out.discard)(backend)
+        for table, lines in self.tables.items():
+            if backend in lines:
+                self.cost(table, 1)
+
+    def admit(self, table: int, routes: int, level: float, retry: int) -> None:
+        assert level >= 0
+        for k in range(len(self.settings.routes)):
+            if not routes or routes >> k & 1:
+                self.levels[table, k] = level, retry
+        self.cost(table, 1)
+
+    def backlog(self, speed: float = 1.0) -> float:
+        """Lines that wait in a channel which runs at a part of its stated rate."""
+        waiting, last = 0.0, 0
+        for when, lines in self.lines:
+            waiting = max(0.0, waiting - (when - last) / SECOND * self.settings.channel_rate * speed) + lines
+            last = when
+        return max(0.0, waiting - (self.now - last) / SECOND * self.settings.channel_rate * speed)
+
+    def pick(self, proxy: int, route: int) -> set[int]:
+        """The backends that a bound proxy may send to."""
+        table = self.bound[proxy].get(route)
+        return {b for b in self.tables.get(table, {}) if b not in self.out} if table is not None else set()
+
+    def join(self, proxy: int, zone: int, held: set[int] | None = None) -> None:
+        self.bound[proxy], self.held[proxy], self.heads[proxy] = {}, held or set(), []
+        self.module.joined(self.now, proxy, zone, 10.0)
+
+    def leave(self, proxy: int) -> None:
+        self.bound.pop(proxy, None)
+        self.module.left(self.now, proxy)
+
+    def run(self, seconds: float, step: int = SECOND // 4) -> None:
+        for _ in range(int(seconds * SECOND / step)):
+            self.now += step
+            self.module.tick(self.now)
+
+    def report(self, bad: dict[int, float], latency: int = SECOND // 10, tries: int = 20) -> None:
+        """A period in which each backend of each zone's table met so many tries of the zone's proxies."""
+        for table, lines in list(self.tables.items()):
+            for b in sorted(set(lines) - self.out):
+                dropped = round(tries * bad.get(b, 0))
+                zone, period = table % self.settings.zones, self.settings.report_ns
+                self.module.heard(self.now, zone, b, tries, dropped, latency, period, {})
+
+
+def entry(backend: int, zone: int, state: str = "ready", since: int = 0, weight: float = 2.0) -> Entry:
+    return Entry(backend, zone, state, since, weight)
+
+
+def started(settings: Settings = SETTINGS, per_zone: int = 3, proxies: int = 4) -> Fleet:
+    """A fleet some seconds into a quiet day: backends 0.. in zones in turn, proxies bound."""
+    fleet = Fleet(settings)
+    listed = [entry(k, k % settings.zones) for k in range(per_zone * settings.zones)]
+    fleet.module.listed(fleet.now, "disk", listed)
+    for p in range(proxies):
+        fleet.join(p, p % settings.zones)
+    fleet.run(1)
+    fleet.module.listed(fleet.now, "whole", listed)
+    fleet.run(8)
+    return fleet
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,113 @@
+"""The decisions: a plain model of the rules beside the module, and a small test for each failure found."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.helpers import SECOND, SETTINGS, Fleet, entry, started
+
+STEP = st.one_of(
+    st.tuples(st.just("join"), st.integers(0, 5), st.integers(0, 1)),
+    st.tuples(st.just("leave"), st.integers(0, 5)),
+    st.tuples(st.just("list"), st.integers(0, 5), st.sampled_from(["ready", "draining", "gone", "start"])),
+    st.tuples(st.just("error")),
+    st.tuples(st.just("report"), st.lists(st.floats(0, 1), min_size=6, max_size=6), st.integers(1, 30)),
+    st.tuples(st.just("wait"), st.integers(1, 12)),
+)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=80)
+@given(st.lists(STEP, max_size=40))
+def test_the_module_keeps_to_what_the_plain_model_allows(steps: list[tuple]) -> None:  # type: ignore[type-arg]
+    fleet = started()
+    state = {b: ("ready", 0) for b in range(6)}
+    for step in steps:
+        if step[0] == "join" and step[1] not in fleet.bound:
+            fleet.join(step[1], step[2], {0, 1})
+        elif step[0] == "leave":
+            fleet.leave(step[1])
+        elif step[0] == "list":
+            since = fleet.now if step[2] == "start" else state[step[1]][1]
+            state[step[1]] = ("ready" if step[2] == "start" else step[2], since)
+            fleet.module.listed(fleet.now, "changes", [entry(step[1], step[1] % 2, *state[step[1]])])
+        elif step[0] == "error":
+            fleet.module.listed(fleet.now, "error", [])
+        elif step[0] == "report":
+            fleet.report(dict(enumerate(step[1])), step[2] * SECOND // 10)
+        elif step[0] == "wait":
+            fleet.run(step[1] / 2)
+        assert fleet.backlog(0.5) <= SETTINGS.queue_cap
+        for sent in fleet.heads.values():
+            assert sum(t > fleet.now - SETTINGS.messages_over_ns for t in sent) <= SETTINGS.messages_most
+        for (_, route), (level, retry) in fleet.levels.items():
+            assert level >= 0 and (retry <= 1 or SETTINGS.routes[route].repeatable)
+    fleet.run(2)  # within the grace and the limit of the first rule everything must be in order
+    ready = {b for b, (how, _) in state.items() if how == "ready"}
+    warm = {b for b in ready if fleet.now - state[b][1] >= SETTINGS.cold_ns}
+    for proxy in fleet.bound:
+        for route in range(len(SETTINGS.routes)):
+            open_to = fleet.pick(proxy, route) or fleet.held.get(proxy, set())
+            assert open_to or not warm
+            assert open_to <= ready or proxy in fleet.held and not ready
+
+
+def test_a_fresh_controller_binds_at_once_and_follows_the_list() -> None:
+    fleet = Fleet()
+    fleet.module.listed(fleet.now, "disk", [entry(0, 0), entry(1, 1)])
+    fleet.join(0, 0)
+    assert fleet.tracks == [fleet.now] and fleet.pick(0, 0) == {0}
+    fleet.module.listed(fleet.now, "whole", [entry(1, 1)])
+    assert fleet.pick(0, 0) == {1}  # a zone without a live server has a table of all
+    fleet.run(1)
+    fleet.module.listed(fleet.now, "changes", [entry(2, 0)])
+    fleet.run(2)
+    assert fleet.pick(0, 0) == {2}
+
+
+def test_a_draining_backend_leaves_every_table_at_once() -> None:
+    fleet = started()
+    fleet.module.listed(fleet.now, "changes", [entry(0, 0, "draining")])
+    assert fleet.pick(0, 0) == {2, 4}
+
+
+def test_a_list_that_fails_is_asked_for_again_in_time() -> None:
+    fleet = started()
+    for _ in range(6):
+        fleet.module.listed(fleet.now, "error", [])
+        failed = fleet.now
+        fleet.run(6)
+        assert 0 < fleet.tracks[-1] - failed <= SETTINGS.ask_within_ns * 0.65
+
+
+def test_a_new_server_enters_at_a_tenth_and_rises() -> None:
+    fleet = started()
+    fleet.module.listed(fleet.now, "changes", [entry(6, 0, since=fleet.now)])
+    fleet.run(2)
+    first = fleet.tables[0][6]
+    fleet.run(30)
+    assert first == 0.2 and fleet.tables[0][6] == 2.0
+
+
+def test_a_backend_that_drops_its_tries_is_withdrawn_and_comes_back_on_a_small_share() -> None:
+    fleet = started()
+    for _ in range(3):
+        fleet.report({2: 0.9})
+        fleet.run(0.5)
+    assert fleet.out == {2}
+    fleet.run(5.5)
+    assert fleet.out == set() and fleet.tables[0][2] == 0.2
+    fleet.run(8)
+    assert fleet.tables[0][2] == 2.0
+
+
+def test_if_all_are_ill_none_is_and_a_table_keeps_its_last_lines() -> None:
+    fleet = started()
+    for _ in range(6):
+        fleet.report({b: 0.9 for b in range(6)})
+        fleet.run(0.5)
+    assert fleet.out == set()
+    for _ in range(6):
+        fleet.report({0: 0.9, 2: 0.9})
+        fleet.run(0.5)
+    assert len(fleet.out) == 1
