--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -19,6 +19,7 @@
 SECOND = 1_000_000_000
 # The design's own figures (docs/design.md): tolerance and clamp of a view, its gain and its cap.
 TOLERANCE = 2.0
+SLO_PART = 0.5  # latency under this part of the SLO time is none to throttle for, whatever the baseline
 LEAST_CUT = 0.5
 GAIN = 0.1
 CAP = 2.0
@@ -363,21 +364,32 @@
                 view.lows.append((now, latency))
                 while view.lows[0][0] < now - WINDOW_NS:
                     view.lows.popleft()
-                cut = min(1.0, max(LEAST_CUT, TOLERANCE * view.lows[0][1] / max(latency, 1)))
+                fair = max(TOLERANCE * view.lows[0][1], SLO_PART * self.slo_ns())
+                cut = min(1.0, max(LEAST_CUT, fair / max(latency, 1)))
                 old = view.calls if view.calls >= 0 else CAP * total
                 view.calls = min(CAP * total, old * cut + GAIN * total)
         known = [view.calls for view in self.views if view.calls >= 0]
         return median(known) if known else -1.0
 
+    def asked_of(self) -> list[float]:
+        """Heard demand by route, in calls a second, repeats and throttled ones included."""
+        asked = [0.0] * len(self.set.routes)
+        for proxy in self.proxies.values():
+            for route, (rate, _) in proxy.asked.items():
+                asked[route] += rate
+        return asked
+
+    def slo_ns(self) -> float:
+        """The mean SLO time over the calls heard."""
+        asked = [calls + 1e-9 for calls in self.asked_of()]
+        return sum(c * r.slo_ns for c, r in zip(asked, self.set.routes, strict=True)) / sum(asked)
+
     def spend(self, now: int) -> None:
         """One budget over all routes, the more important first; levels go out on change."""
         budget = self.estimate(now)
         if now - self.born_ns < FRESH_NS or budget < 0:
             return
-        asked = [0.0] * len(self.set.routes)
-        for proxy in self.proxies.values():
-            for route, (rate, _) in proxy.asked.items():
-                asked[route] += rate
+        asked = self.asked_of()
         levels = [1.0] * len(asked)
         left = budget
         for importance in sorted({r.importance for r in self.set.routes}, reverse=True):
