Hold the budget over 0.8 of the window's best throughput

Cause: throttled calls leave little throughput, so a cut level fed on itself for 20 s after a crash.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -24,6 +24,7 @@
 GAIN = 0.1
 CAP = 2.0
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
+PROVEN = 0.8  # a budget never falls below this part of the best throughput of the window
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
@@ -93,6 +94,7 @@
         self.tables: list[dict[int, float]] = [{} for _ in range(settings.zones * len(self.groups))]
         self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in self.tables]
         self.views = [View() for _ in range(settings.zones)]
+        self.best: deque[tuple[int, float]] = deque()  # (when, throughput), falling
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, str, int]] = []
         self.queue, self.queue_ns = 0.0, now_ns
@@ -368,8 +370,15 @@
                 cut = min(1.0, max(LEAST_CUT, fair / max(latency, 1)))
                 old = view.calls if view.calls >= 0 else CAP * total
                 view.calls = min(CAP * total, old * cut + GAIN * total)
+        while self.best and self.best[-1][1] <= total:
+            self.best.pop()
+        self.best.append((now, total))
+        while self.best[0][0] < now - WINDOW_NS:
+            self.best.popleft()
         known = [view.calls for view in self.views if view.calls >= 0]
-        return median(known) if known else -1.0
+        # What was answered lately can be answered again: guards against a level that feeds on itself, as
+        # throttled calls leave little throughput to grow from.
+        return max(median(known), PROVEN * self.best[0][1]) if known else -1.0
 
     def asked_of(self) -> list[float]:
         """Heard demand by route, in calls a second, repeats and throttled ones included."""
