Answer suspects by one ladder of shares in place of in or out

Cause: full servers were withdrawn, their calls filled the next ones, and so on round the zone. Guards also against slow machines and quick errors; can harm where the rest has no room.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -39,12 +39,14 @@
 ASK_MOST = 0.4  # longest such wait: two failures in a row still fit into that time
 
 HALF_REPORTS = 2.0  # what was heard of a backend counts half after so many reports
-LEAST_BAD = 3.0  # dropped tries before a verdict
-BAD_SHARE = 0.3  # dropped share above the fleet's median that makes a suspect
+LEAST_TRIES = 6.0  # heard before a verdict
+ILL, DEAD = 0.15, 0.6  # dropped share above the fleet's median that costs a rung, or all of them
+SLOW = 1.7  # times the fleet's median latency that costs a rung, if it is too near the SLO time as well
+RUNGS = (1.0, 0.5, 0.25, 0.1)  # parts of the listed weight that a suspect keeps; under the last it is out
 OUT_MOST = 0.34  # of a table's weight that may be withdrawn
-OUT_REPORTS = 8.0  # a suspect stays out so many reports, twice as long each time it fails its trial
-OUT_DOUBLES = 3
-TRIAL_REPORTS = 8.0  # and then gets the new server's share for so many
+VERDICT_REPORTS = 3.0  # a verdict waits so many reports (and an order's way), to hear what the last one did
+CLIMB_REPORTS = 8.0  # a rung is won back after so many
+OUT_DOUBLES = 3  # each failed trial doubles the time out, so often
 
 
 @dataclass(slots=True)
@@ -54,10 +56,12 @@
     since_ns: int
     ready: bool = True
     out: bool = False  # withdrawn by the health guard
+    rung: int = 0
     strikes: int = 0
-    trial_ns: int = 0  # until then on a small share, to prove itself
+    moved_ns: int = 0  # when its rung last changed
     tries: float = 0.0  # heard of late, fading
     bad: float = 0.0
+    spent: float = 0.0  # latency of the good ones, summed
     heard_ns: int = 0
 
 
@@ -160,8 +164,8 @@
             if known is None:
                 known = self.backends[entry.backend] = Backend(entry.zone, entry.weight, entry.since_ns)
             elif entry.since_ns > known.since_ns:  # a start, under whatever name: what was known is void
-                known.since_ns, known.strikes, known.trial_ns = entry.since_ns, 0, 0
-                known.tries = known.bad = 0.0
+                known.since_ns, known.strikes, known.rung = entry.since_ns, 0, 0
+                known.tries = known.bad = known.spent = 0.0
             known.zone, known.ready = entry.zone, entry.state == "ready"
             if self.set.fixed_weights:
                 known.weight = entry.weight
@@ -174,13 +178,12 @@
     # -- tables
 
     def part(self, now: int, backend: Backend) -> float:
-        """The part of its listed weight that a server gets: less while it is new or on trial."""
-        if now < backend.trial_ns:
-            return RAMP[0][1]
+        """The part of its listed weight that a server gets: less while it is new or suspect."""
+        rung = RUNGS[min(backend.rung, len(RUNGS) - 1)]
         if not backend.since_ns:
-            return 1.0
+            return rung
         age = (now - backend.since_ns) / (RAMP_COLD * self.set.cold_ns)
-        return max((share for start, share in RAMP if age >= start), default=RAMP[0][1])
+        return rung * max((share for start, share in RAMP if age >= start), default=RAMP[0][1])
 
     def wanted(self, now: int, zone: int, home: bool) -> dict[int, float]:
         ready = {place: b for place, b in self.backends.items() if b.ready}
@@ -257,7 +260,7 @@
             return
         fade = 0.5 ** ((now - backend.heard_ns) / (HALF_REPORTS * self.set.report_ns))
         backend.tries, backend.bad = backend.tries * fade + tries, backend.bad * fade + bad
-        backend.heard_ns = now
+        backend.spent, backend.heard_ns = backend.spent * fade + latency_ns * (tries - bad), now
         view = self.views[zone]
         # Only good answers count, so quick errors lift nothing; rates come from what a line covers, so late
         # bundles are no jump.
@@ -284,11 +287,12 @@
                 self.host.track(True)
             elif what == "trial":
                 self.trial(now, place)
+        if not self.set.slices and self.set.reports:
+            self.judge(now)
         self.settle(now)
         for number in self.proxies:
             self.bind(now, number)
         if not self.set.slices and self.set.reports:
-            self.judge(now)
             self.spend(now)
 
     # -- health
@@ -298,26 +302,48 @@
         return [p for p in self.proxies.values() if p.bound and p.zone in zones]
 
     def judge(self, now: int) -> None:
-        """Withdraws the backends that drop far more of their tries than the fleet does."""
-        met = [(p, b) for p, b in self.backends.items() if b.ready and b.tries > LEAST_BAD]
-        shares = sorted((b.bad / b.tries, p) for p, b in met)
-        usual = median(share for share, _ in shares) if shares else 0.0
-        for share, place in reversed(shares):
-            backend = self.backends[place]
-            if share < usual + BAD_SHARE:  # if all are ill, none is
-                break
-            if backend.out or backend.bad < LEAST_BAD or not self.spare(now, place):
-                continue
-            users = self.users(place)
-            if not self.room(now, users, 1, KEEP_GUARD):
+        """Moves each backend down the rungs while it drops or dawdles far more than the fleet, and up again.
+
+        A full server gets better with less; an ill one does not, and goes on down: one ladder answers a slow
+        machine, a full one, quick errors, hanging and silence. If all are ill, none is. It can harm where the
+        rest has no room for what a suspect gives up."""
+        met = [b for b in self.backends.values() if b.ready and not b.out and b.tries >= LEAST_TRIES]
+        if not met:
+            return
+        usual = median(b.bad / b.tries for b in met)
+        waits = [b.spent / (b.tries - b.bad) for b in met if b.tries - b.bad >= 1]
+        slow = max(SLOW * median(waits), SLO_PART * self.slo_ns()) if waits else 0.0
+        wait = int(VERDICT_REPORTS * self.set.report_ns) + self.set.delay_most_ns
+        for place, b in self.backends.items():
+            if not b.ready or b.out or now - b.moved_ns < wait:
                 continue
-            self.charge(now, users, 1)
-            backend.out = True
-            self.host.withdraw(place, True)
-            self.host.record(f"suspect {place} withdrawn: drops {share:.0%}, the fleet {usual:.0%}")
-            wait = OUT_REPORTS * 2 ** min(backend.strikes, OUT_DOUBLES) * (0.75 + self.chance() / 2)
-            backend.strikes += 1
-            self.later(now + int(wait * self.set.report_ns), "trial", place)
+            share = b.bad / b.tries - usual if b.tries >= LEAST_TRIES else 0.0
+            good = b.tries - b.bad
+            if share >= DEAD or (share >= ILL and b.rung == len(RUNGS) - 1):
+                self.withdraw(now, place, share)
+            elif (share >= ILL or good >= LEAST_TRIES and b.spent / good >= slow) and b.rung < len(RUNGS) - 1:
+                self.step(now, place, 1)
+            elif b.rung and now - b.moved_ns >= CLIMB_REPORTS * self.set.report_ns:
+                self.step(now, place, -1)
+
+    def step(self, now: int, place: int, down: int) -> None:
+        b = self.backends[place]
+        b.rung, b.moved_ns, b.tries, b.bad, b.spent = b.rung + down, now, 0.0, 0.0, 0.0
+        b.strikes = b.strikes if b.rung else 0
+        self.host.record(f"suspect {place} on rung {b.rung}")
+
+    def withdraw(self, now: int, place: int, share: float) -> None:
+        users = self.users(place)
+        if not self.spare(now, place) or not self.room(now, users, 1, KEEP_GUARD):
+            return
+        self.charge(now, users, 1)
+        b = self.backends[place]
+        b.out, b.moved_ns = True, now
+        self.host.withdraw(place, True)
+        self.host.record(f"suspect {place} withdrawn: drops {share:.0%} more than the fleet")
+        rest = CLIMB_REPORTS * 2 ** min(b.strikes, OUT_DOUBLES) * (0.75 + self.chance() / 2)
+        b.strikes += 1
+        self.later(now + int(rest * self.set.report_ns), "trial", place)
 
     def spare(self, now: int, place: int) -> bool:
         """Whether every table that names this backend keeps enough without it, and a warm line."""
@@ -339,13 +365,12 @@
         if not self.room(now, users, 2, KEEP_GUARD):
             return self.later(now + self.tick_ns, "trial", place)
         self.charge(now, users, 2)
-        backend.out, backend.tries, backend.bad = False, 0.0, 0.0
-        backend.trial_ns = now + int(TRIAL_REPORTS * self.set.report_ns)
-        for table in self.tables:
+        backend.out, backend.rung, backend.moved_ns = False, len(RUNGS) - 1, now
+        backend.tries = backend.bad = backend.spent = 0.0
+        for number, table in enumerate(self.tables):
             if place in table:
-                table_weight = max(backend.weight, 1e-3) * self.part(now, backend)
-                table[place] = table_weight
-                self.host.set_line(self.tables.index(table), place, table_weight)
+                table[place] = max(backend.weight, 1e-3) * self.part(now, backend)
+                self.host.set_line(number, place, table[place])
         self.host.withdraw(place, False)
         self.host.record(f"suspect {place} on trial")
 
