Let a zone short of room send the excess of its calls abroad

Cause: a zone table fills up when its zone loses servers or meets most of the calls, while others have room. Guards also against zones of cold or suspect servers; costs calls that cross zones.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -29,6 +29,7 @@
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
 LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
+SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
 RAMP_COLD = 2.0  # a new server rises over so many cold times: 30 s where a server is warm after 15
 RAMP = ((0.0, 0.1), (0.2, 0.3), (0.45, 0.6), (0.75, 1.0))  # (part of that time, part of the listed weight)
 
@@ -99,6 +100,8 @@
         self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in self.tables]
         self.views = [View() for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, throughput), falling
+        self.keep = [1.0] * settings.zones  # the part of its calls that a zone keeps
+        self.abroad: list[list[float]] = [[] for _ in range(settings.zones)]  # parts of weight there, by zone
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, str, int]] = []
         self.queue, self.queue_ns = 0.0, now_ns
@@ -185,12 +188,49 @@
         age = (now - backend.since_ns) / (RAMP_COLD * self.set.cold_ns)
         return rung * max((share for start, share in RAMP if age >= start), default=RAMP[0][1])
 
+    def balance(self, now: int) -> None:
+        """Finds the zones whose servers have less room than their calls' fair share, and where there is more.
+
+        Exception to the zone tables, between them and the table of all: guards against a zone that loses some
+        of its servers, has only cold or suspect ones, or meets far more calls than the others. What the other
+        instances' proxies ask is taken to go by listed weight. It costs calls that cross zones."""
+        zones, own = range(self.set.zones), 1 / self.set.controllers
+        room, listed, asked = [0.0] * len(zones), [1e-9] * len(zones), [1e-9] * len(zones)
+        for b in self.backends.values():
+            if b.ready:
+                listed[b.zone] += b.weight
+                room[b.zone] += 0.0 if b.out else b.weight * self.part(now, b)
+        for proxy in self.proxies.values():
+            asked[proxy.zone] += sum(rate for rate, _ in proxy.asked.values()) or proxy.usual
+        if not sum(room):
+            return
+        need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in zones]
+        spare = [max(0.0, room[z] / sum(room) - need[z]) for z in zones]
+        for zone in zones:
+            keep = min(1.0, room[zone] / sum(room) / need[zone])
+            if keep > SPILL_AT:
+                keep = 1.0 if keep > SPILL_AT + SPILL_STEP or not self.abroad[zone] else SPILL_AT
+            if abs(keep - self.keep[zone]) < SPILL_STEP and (keep < 1.0 or self.keep[zone] == 1.0):
+                continue
+            if (keep == 1.0) != (self.keep[zone] == 1.0):
+                self.host.record(f"zone {zone} " + ("keeps its calls" if keep == 1.0 else "sends calls abroad"))
+            self.keep[zone] = keep
+            shares = [0.0 if z == zone else spare[z] / (sum(spare) - spare[zone] + 1e-12) for z in zones]
+            excess = room[zone] * (1 - keep) / max(keep, SPILL_STEP)
+            self.abroad[zone] = [excess * shares[z] / max(room[z], 1e-9) for z in zones] if keep < 1.0 else []
+
     def wanted(self, now: int, zone: int, home: bool) -> dict[int, float]:
         ready = {place: b for place, b in self.backends.items() if b.ready}
         own = {place: b for place, b in ready.items() if b.zone == zone}
         if not own and not home:
             own = ready
-        return {place: max(b.weight, 1e-3) * self.part(now, b) for place, b in own.items()}
+        lines = {place: max(b.weight, 1e-3) * self.part(now, b) for place, b in own.items()}
+        if self.abroad[zone] and len(own) < len(ready) and not home:
+            for place, b in ready.items():
+                factor = self.abroad[zone][b.zone]
+                if b.zone != zone and factor > 0:
+                    lines[place] = max(b.weight, 1e-3) * self.part(now, b) * factor
+        return lines
 
     def of_zone(self, zone: int) -> list[Proxy]:
         return [p for p in self.proxies.values() if p.zone == zone and p.bound]
@@ -203,11 +243,12 @@
         """Brings each zone's tables to what the list asks for; a line that must go leaves at once."""
         if self.set.slices:
             return self.settle_slices(now)
+        self.balance(now)
         for zone in range(self.set.zones):
             todo, drains = [], False
             for table, _, home in self.zone_tables(zone):
                 have, want = self.tables[table], self.wanted(now, zone, home)
-                todo += [(table, p, w) for p, w in want.items() if abs(have.get(p, 0.0) - w) > 1e-9]
+                todo += [(table, p, w) for p, w in want.items() if abs(have.get(p, 0.0) - w) > 1e-6]
                 todo += [(table, p, 0.0) for p in have if p not in want]
                 drains = drains or any(not self.backends[p].ready for p in have)
             users = self.of_zone(zone)
