--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -213,7 +213,7 @@
             if abs(keep - self.keep[zone]) < SPILL_STEP and (keep < 1.0 or self.keep[zone] == 1.0):
                 continue
             if (keep == 1.0) != (self.keep[zone] == 1.0):
-                self.host.record(f"zone {zone} " + ("keeps its calls" if keep == 1.0 else "sends calls abroad"))
+                self.host.record(f"zone {zone} " + ("keeps calls" if keep == 1.0 else "sends calls abroad"))
             self.keep[zone] = keep
             shares = [0.0 if z == zone else spare[z] / (sum(spare) - spare[zone] + 1e-12) for z in zones]
             excess = room[zone] * (1 - keep) / max(keep, SPILL_STEP)
