--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -194,7 +194,8 @@
         Exception to the zone tables, between them and the table of all: guards against a zone that loses some
         of its servers, has only cold or suspect ones, or meets far more calls than the others. What the other
         instances' proxies ask is taken to go by listed weight. It costs calls that cross zones."""
-        zones, own = range(self.set.zones), 1 / self.set.controllers
+        zones = range(self.set.zones)
+        own = 1 / self.set.controllers if now - self.born_ns >= FRESH_NS else 0.0  # before, few have joined
         room, listed, asked = [0.0] * len(zones), [1e-9] * len(zones), [1e-9] * len(zones)
         for b in self.backends.values():
             if b.ready:
