--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -44,9 +44,9 @@
 ILL, DEAD = 0.15, 0.6  # dropped share above the fleet's median that costs a rung, or all of them
 LEAST_QUEUE = 2.0  # with fewer calls waiting a server is not the one that dawdles, a stalled proxy may be
 SLOW = 1.7  # times the fleet's median latency that costs a rung, if it is too near the SLO time as well
-RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1)  # parts of the listed weight that a suspect keeps; under the last it is out
+RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1)  # parts of its listed weight that a suspect keeps
 OUT_MOST = 0.34  # of a table's weight that may be withdrawn
-VERDICT_REPORTS = 3.0  # a verdict waits so many reports (and an order's way), to hear what the last one did
+VERDICT_REPORTS = 3.0  # a verdict waits so many reports (and an order's way) to hear what the last did
 CLIMB_REPORTS = 8.0  # a rung is won back after so many
 OUT_DOUBLES = 3  # each failed trial doubles the time out, so often
 
@@ -102,6 +102,7 @@
         self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in self.tables]
         self.views = [View() for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, throughput), falling
+        self.ease = [1.0] * settings.zones  # the part of their weight that a zone's warm servers have
         self.keep = [1.0] * settings.zones  # the part of its calls that a zone keeps
         self.abroad: list[list[float]] = [[] for _ in range(settings.zones)]  # parts of weight there, by zone
         self.paced = [-SECOND] * settings.zones
@@ -187,6 +188,10 @@
         rung = RUNGS[min(backend.rung, len(RUNGS) - 1)]
         if not backend.since_ns:
             return rung
+        if now - backend.since_ns < self.set.cold_ns:
+            # Guards against pushing over a cold server when the warm ones beside it are eased or out: it gets
+            # no more of the calls than it would get beside sound ones.
+            rung *= self.ease[backend.zone]
         age = (now - backend.since_ns) / (RAMP_COLD * self.set.cold_ns)
         return rung * max((share for start, share in RAMP if age >= start), default=RAMP[0][1])
 
@@ -199,6 +204,11 @@
         zones = range(self.set.zones)
         own = 1 / self.set.controllers if now - self.born_ns >= FRESH_NS else 0.0  # before, few have joined
         room, listed, asked = [0.0] * len(zones), [1e-9] * len(zones), [1e-9] * len(zones)
+        warm = [b for b in self.backends.values() if b.ready and now - b.since_ns >= self.set.cold_ns]
+        for zone in zones:
+            here = [b for b in warm if b.zone == zone]
+            eased = sum(b.weight * RUNGS[b.rung] for b in here if not b.out)
+            self.ease[zone] = max(RUNGS[-1], eased / sum(b.weight for b in here)) if here else 1.0
         for b in self.backends.values():
             if b.ready:
                 listed[b.zone] += b.weight
