--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -24,7 +24,7 @@
 GAIN = 0.1
 CAP = 2.0
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
-PROVEN = 0.8  # a budget never falls below this part of the best throughput of the window
+PROVEN = 0.5  # a budget never falls below this part of the best throughput of the window
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
@@ -235,7 +235,7 @@
     def wanted(self, now: int, zone: int, home: bool) -> dict[int, float]:
         ready = {place: b for place, b in self.backends.items() if b.ready}
         own = {place: b for place, b in ready.items() if b.zone == zone}
-        if not own and not home:
+        if all(b.out for b in own.values()) and not home:  # suspects are no live servers: the table of all
             own = ready
         lines = {place: max(b.weight, 1e-3) * self.part(now, b) for place, b in own.items()}
         if self.abroad[zone] and len(own) < len(ready) and not home:
@@ -277,6 +277,10 @@
                     self.tables[table][place] = weight
                 else:
                     del self.tables[table][place]
+        for table_lines in self.tables:
+            # Guards against a list that takes the last lines which the health guard had left a table.
+            if table_lines and all(self.backends[p].out for p in table_lines):
+                self.trial(now, max(table_lines, key=lambda p: -self.backends[p].moved_ns))
         for place, backend in self.backends.items():
             if backend.out and not any(place in table for table in self.tables):
                 backend.out = False  # in no table: lifting costs no line, and its return is not held up
