--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -31,6 +31,8 @@
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
 LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
 SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
+TIP_PART = 0.6  # of what tips a cold server is the most that a zone's table may send it
+TIP_HALVES = 5  # its weight is halved for that so often at most
 RAMP_COLD = 2.0  # a new server rises over so many cold times: 30 s where a server is warm after 15
 RAMP = ((0.0, 0.1), (0.2, 0.3), (0.45, 0.6), (0.75, 1.0))  # (part of that time, part of the listed weight)
 
@@ -120,6 +122,7 @@
         self.views = [View() for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, -throughput), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
+        self.unit = 0.0  # calls a second that a unit of weight has answered
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, str, int]] = []
         self.queue, self.queue_ns = 0.0, now_ns
@@ -234,19 +237,30 @@
     def wanted(self, now: int, zone: int, home: bool) -> dict[int, float]:
         """The lines of a zone's table: its own servers, and a part of others' weight where it must."""
         view = self.views[zone]
-        ready = {place: b for place, b in self.backends.items() if b.ready}
-        own = {place: b for place, b in ready.items() if b.zone == zone}
-        if all(b.out for b in own.values()) and not home:  # suspects are no live servers: the table of all
-            own = ready
-        if view.jam and not all(b.out or self.cold(now, b) for b in own.values()):
+        ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
+        warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
+        if view.jam and not all(b.out for b in warm.values()):
             # Guards against pushing over a cold server where proxies avoid the warm ones after a run of
             # drops: it would get all they have, whatever its weight. It warms up outside.
-            own, ready = ({p: b for p, b in part.items() if not self.cold(now, b)} for part in (own, ready))
+            ready = warm
+        own = {p: b for p, b in ready.items() if b.zone == zone}
+        if all(b.out for b in own.values()):  # suspects are no live servers: the table of all
+            own = ready
         lines = {place: max(b.weight, 1e-3) * self.part(now, b) for place, b in own.items()}
-        if view.keep < 1.0 and len(own) < len(ready) and not home:
+        if view.keep < 1.0 and len(own) < len(ready):
             for place, b in ready.items():
                 if b.zone != zone and view.abroad[b.zone] > 0:
                     lines[place] = max(b.weight, 1e-3) * self.part(now, b) * view.abroad[b.zone]
+        rate = view.met.tries * (1 - 0.5 ** (1 / HALF_REPORTS)) * SECOND / self.set.report_ns
+        total = sum(weight for place, weight in lines.items() if not ready[place].out)
+        for place in lines:
+            # Guards against pushing over a cold server where few others are left or calls are many.
+            age = (now - ready[place].since_ns) / self.set.cold_ns
+            able = (self.set.cold_share + (1 - self.set.cold_share) * age) * self.unit * ready[place].weight
+            for _ in range(TIP_HALVES if age < 1 and self.unit else 0):
+                if lines[place] * rate > TIP_PART * self.set.tip_multiple * able * total:
+                    lines[place] /= 2
+                    total -= lines[place]
         return lines
 
     def cold(self, now: int, backend: Backend) -> bool:
@@ -341,9 +355,6 @@
             rate = calls * SECOND / covers_ns
             proxy.asked[route] = (rate + proxy.asked.get(route, rate)) / 2
 
-    def probed(self, now: int, place: int, good: bool, latency_ns: int) -> None:
-        """Nothing is asked of probes yet."""
-
     # -- the one timer
 
     def tick(self, now: int) -> None:
@@ -468,6 +479,7 @@
         # What was answered lately can be answered again: guards against a level that feeds on itself, as
         # throttled calls leave little throughput to grow from.
         best = -self.lowest(now, self.best, -total)
+        self.unit = best / max(1e-9, sum(b.weight for b in self.backends.values() if b.ready))
         return max(median(known), PROVEN * best) if known else -1.0
 
     def spend(self, now: int) -> None:
--- a/meadowworks/wirehost/wire.py
+++ b/meadowworks/wirehost/wire.py
@@ -56,9 +56,6 @@
     def wake_in(self, wait_ns: int) -> None:
         self.out.append(f"WAKE_ME\t{self.name}\t{wait_ns // 1000}\ttick")
 
-    def probe(self, backend: int) -> None:
-        self.out.append(f"SAMPLE\t{self.name}\t{self.addresses[backend]}")
-
     def set_line(self, table: int, backend: int, weight: float) -> None:
         self.out.append(f"UPSERT\t{self.name}\t{table}\t{self.addresses[backend]}\t{weight:.6g}")
 
@@ -158,9 +155,6 @@
             return lambda now: module.listed(now, how, listed)
         case "ELAPSED":
             return module.tick
-        case "PROBED":
-            backend, good, lag = host.backends[v[2]], v[3] == "done", int(v[4]) * 1000
-            return lambda now: module.probed(now, backend, good, lag)
         case "CONNECTED":
             proxy, zone, usual = int(v[2]), host.zones[v[3]], 0.0 if v[4] == "-" else float(v[4])
             return lambda now: module.joined(now, proxy, zone, usual)
@@ -181,5 +175,5 @@
         case "STANDING_LINE":
             number, backend, weight = int(v[2]), host.index(v[3]), float(v[4])
             return lambda now: module.slice_line(now, number, backend, weight)
-        case _:  # peers, marks and heat by slice: legal, and nothing that the module reads
+        case _:  # probes, peers, marks and heat by slice: legal, and nothing that the module reads
             return lambda now: None
