Replace withdrawals by a last rung of a hundredth of the weight

Two defences overlapped: rungs and withdrawals with their caps, trials and returns. A table now never loses a ready line to the health guard, so the first rule needs no cap.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -10,7 +10,7 @@
 import heapq
 import zlib
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from statistics import median
 
@@ -38,7 +38,7 @@
 
 TICKS_A_REPORT = 2  # half a report period is the longest that news waits to be acted on
 CHANNEL_TRUST = 0.5  # the channel may run at half its stated rate without the queue passing its cap
-KEEP_DRAIN, KEEP_GUARD, KEEP_USUAL = 0.1, 0.3, 0.5  # parts of the caps that orders of a kind leave free
+KEEP_DRAIN, KEEP_JOIN, KEEP_USUAL = 0.1, 0.3, 0.5  # parts of the caps that orders of a kind leave free
 ASK_PART = 0.05  # first wait after a list call failed, of the time within which to ask; doubled each time
 ASK_MOST = 0.4  # longest such wait: two failures in a row still fit into that time
 
@@ -47,11 +47,10 @@
 ILL, DEAD = 0.15, 0.6  # dropped share above the fleet's median that costs a rung, or all of them
 LEAST_QUEUE = 2.0  # with fewer calls waiting a server is not the one that dawdles, a stalled proxy may be
 SLOW = 1.7  # times the fleet's median latency that costs a rung, if it is too near the SLO time as well
-RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1)  # parts of its listed weight that a suspect keeps
-OUT_MOST = 0.34  # of a table's weight that may be withdrawn
+RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1, 0.01)  # parts of its listed weight that a suspect keeps
 VERDICT_REPORTS = 3.0  # a verdict waits so many reports (and an order's way) to hear what the last did
 CLIMB_REPORTS = 8.0  # a rung is won back after so many
-OUT_DOUBLES = 3  # each failed trial doubles the time out, so often
+REST_DOUBLES = 3  # each failed trial doubles the time on the last rung, so often
 
 
 @dataclass(slots=True)
@@ -75,7 +74,6 @@
     weight: float
     since_ns: int
     ready: bool = True
-    out: bool = False  # withdrawn by the health guard
     rung: int = 0
     strikes: int = 0
     moved_ns: int = 0  # when its rung last changed
@@ -124,7 +122,7 @@
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
         self.unit = 0.0  # calls a second that a unit of weight has answered
         self.paced = [-SECOND] * settings.zones
-        self.due: list[tuple[int, int, str, int]] = []
+        self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.queue, self.queue_ns = 0.0, now_ns
         self.failures = 0
         self.slices: dict[int, dict[int, float]] = {}
@@ -140,9 +138,9 @@
         self.count += 1
         return zlib.crc32(f"{self.seed}:{self.count}".encode()) / 2**32
 
-    def later(self, when_ns: int, what: str, backend: int = -1) -> None:
+    def later(self, when_ns: int, act: Callable[[], None]) -> None:
         self.count += 1
-        heapq.heappush(self.due, (when_ns, self.count, what, backend))
+        heapq.heappush(self.due, (when_ns, self.count, act))
 
     def take(self, now: int, proxies: Sequence[Proxy], lines: int, keep: float) -> bool:
         """Takes room for so many lines to each of these, leaving a part of the caps to dearer orders.
@@ -171,7 +169,7 @@
         if how == "error":  # the old list stands; ask again, each time later and never all at once
             wait = min(ASK_MOST, ASK_PART * 2**self.failures) * self.set.ask_within_ns
             self.failures += 1
-            return self.later(now + int(wait * (0.5 + self.chance())), "ask")
+            return self.later(now + int(wait * (0.5 + self.chance())), lambda: self.host.track(True))
         self.failures = 0
         if how != "changes":
             named = {entry.backend for entry in entries}
@@ -192,7 +190,7 @@
 
     def part(self, now: int, backend: Backend) -> float:
         """The part of its listed weight that a server gets: less while it is new or suspect."""
-        rung = RUNGS[min(backend.rung, len(RUNGS) - 1)]
+        rung = RUNGS[backend.rung]
         if not backend.since_ns:
             return rung
         age = (now - backend.since_ns) / (RAMP_COLD * self.set.cold_ns)
@@ -210,7 +208,7 @@
         for b in self.backends.values():
             if b.ready:
                 listed[b.zone] += b.weight
-                room[b.zone] += 0.0 if b.out else b.weight * self.part(now, b)
+                room[b.zone] += b.weight * self.part(now, b)
         for proxy in self.proxies.values():
             asked[proxy.zone] += sum(proxy.asked.values()) or proxy.usual
         if not sum(room):
@@ -218,7 +216,7 @@
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(count)]
         for zone, view in enumerate(self.views):
             share = view.met.bad / max(view.met.tries, LEAST_TRIES)
-            if self.set.ejects and (share > JAM[0] if not view.jam else share < JAM[1]):
+            if share > JAM[0] if not view.jam else share < JAM[1]:
                 view.jam = not view.jam
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
             keep = min(1.0, room[zone] / sum(room) / need[zone])
@@ -230,7 +228,7 @@
             if (keep == 1.0) != (view.keep == 1.0):
                 self.host.record(f"zone {zone} " + ("keeps calls" if keep == 1.0 else "sends calls abroad"))
             spare = [max(0.0, r / sum(room) - n) for r, n in zip(room, need, strict=True)]
-            excess = room[zone] * (1 - keep) / max(keep, SPILL_STEP) / max(sum(spare) - spare[zone], 1e-9)
+            excess = room[zone] * (1 - keep) / max(keep, RUNGS[-1]) / max(sum(spare) - spare[zone], 1e-9)
             view.keep = keep
             view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(spare, room, strict=True)]
 
@@ -239,12 +237,12 @@
         view = self.views[zone]
         ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        if view.jam and not all(b.out for b in warm.values()):
+        if view.jam and warm and self.set.ejects:
             # Guards against pushing over a cold server where proxies avoid the warm ones after a run of
             # drops: it would get all they have, whatever its weight. It warms up outside.
             ready = warm
         own = {p: b for p, b in ready.items() if b.zone == zone}
-        if all(b.out for b in own.values()):  # suspects are no live servers: the table of all
+        if not own:
             own = ready
         lines = {place: max(b.weight, 1e-3) * self.part(now, b) for place, b in own.items()}
         if view.keep < 1.0 and len(own) < len(ready):
@@ -252,7 +250,7 @@
                 if b.zone != zone and view.abroad[b.zone] > 0:
                     lines[place] = max(b.weight, 1e-3) * self.part(now, b) * view.abroad[b.zone]
         rate = view.met.tries * (1 - 0.5 ** (1 / HALF_REPORTS)) * SECOND / self.set.report_ns
-        total = sum(weight for place, weight in lines.items() if not ready[place].out)
+        total = sum(lines.values())
         for place in lines:
             # Guards against pushing over a cold server where few others are left or calls are many.
             age = (now - ready[place].since_ns) / self.set.cold_ns
@@ -300,14 +298,6 @@
                     self.tables[table][place] = weight
                 else:
                     del self.tables[table][place]
-        for table_lines in self.tables:
-            # Guards against a list that takes the last lines which the health guard had left a table.
-            if table_lines and all(self.backends[p].out for p in table_lines):
-                self.trial(now, max(table_lines, key=lambda p: -self.backends[p].moved_ns))
-        for place, backend in self.backends.items():
-            if backend.out and not any(place in table for table in self.tables):
-                backend.out = False  # in no table: lifting costs no line, and its return is not held up
-                self.host.withdraw(place, False)
 
     # -- proxies
 
@@ -322,8 +312,7 @@
         if self.set.slices or proxy.bound or not any(self.tables[t] for t, _, _ in tables):
             return
         lines = sum(1 + len(self.tables[t]) + len(self.levels[t]) for t, _, _ in tables)
-        lines += sum(b.out for b in self.backends.values())
-        if self.take(now, [proxy], lines, KEEP_GUARD):
+        if self.take(now, [proxy], lines, KEEP_JOIN):
             proxy.bound = True
             for table, routes, _ in tables:
                 self.host.bind(routes if len(tables) > 1 else 0, number, table)
@@ -360,11 +349,8 @@
     def tick(self, now: int) -> None:
         self.host.wake_in(self.tick_ns)
         while self.due and self.due[0][0] <= now:
-            _, _, what, place = heapq.heappop(self.due)
-            if what == "ask":
-                self.host.track(True)
-            elif what == "trial":
-                self.trial(now, place)
+            _, _, act = heapq.heappop(self.due)
+            act()
         if not self.set.slices and self.set.reports:
             self.judge(now)
         self.settle(now)
@@ -375,81 +361,40 @@
 
     # -- health
 
-    def users(self, place: int) -> list[Proxy]:
-        zones = {t // len(self.groups) for t, table in enumerate(self.tables) if place in table}
-        return [p for p in self.proxies.values() if p.bound and p.zone in zones]
-
     def judge(self, now: int) -> None:
         """Moves each backend down the rungs while it drops or dawdles far more than the fleet, and up again.
 
         A full server gets better with less; an ill one does not, and goes on down: one ladder answers a slow
         machine, a full one, quick errors, hanging and silence. If all are ill, none is. It can harm where the
         rest has no room for what a suspect gives up."""
-        able = [b.met for b in self.backends.values() if b.ready and not b.out]
-        heard = [met for met in able if met.tries >= LEAST_TRIES]
+        heard = [b.met for b in self.backends.values() if b.ready and b.met.tries >= LEAST_TRIES]
         if not heard:
             return
         usual = median(m.bad / m.tries for m in heard)
         waits = [m.spent / (m.tries - m.bad) for m in heard if m.tries - m.bad >= 1]
         slow = max(SLOW * median(waits), SLO_PART * self.slo_ns) if waits else 0.0
         wait = int(VERDICT_REPORTS * self.set.report_ns) + self.set.delay_most_ns
+        last = len(RUNGS) - 1
         for place, b in self.backends.items():
-            if not b.ready or b.out or now - b.moved_ns < wait:
+            if not b.ready or now - b.moved_ns < wait:
                 continue
             share = b.met.bad / b.met.tries - usual if b.met.tries >= LEAST_TRIES else 0.0
             good = b.met.tries - b.met.bad
             slower = good >= LEAST_TRIES and b.met.spent / good >= slow and not 0 <= b.queue < LEAST_QUEUE
-            if share >= DEAD or (share >= ILL and b.rung == len(RUNGS) - 1):
-                self.withdraw(now, place, share)
-            elif (share >= ILL or slower) and b.rung < len(RUNGS) - 1:
-                self.step(now, place, b.rung + 1)
-            elif b.rung and now - b.moved_ns >= CLIMB_REPORTS * self.set.report_ns:
+            rest = int(CLIMB_REPORTS * self.set.report_ns)
+            rest *= 2 ** min(b.strikes, REST_DOUBLES) if b.rung == last else 1
+            if share >= ILL or slower:
+                if b.rung < last:
+                    self.step(now, place, last if share >= DEAD else b.rung + 1)
+            elif b.rung and now - b.moved_ns >= rest:
                 self.step(now, place, b.rung - 1)
 
     def step(self, now: int, place: int, rung: int) -> None:
         b = self.backends[place]
         b.rung, b.moved_ns, b.met = rung, now, Met()
-        b.strikes = b.strikes if rung else 0
+        b.strikes = b.strikes + (rung == len(RUNGS) - 1) if rung else 0
         self.host.record(f"suspect {place} on rung {rung}")
 
-    def withdraw(self, now: int, place: int, share: float) -> None:
-        if not self.spare(now, place) or not self.take(now, self.users(place), 1, KEEP_GUARD):
-            return
-        b = self.backends[place]
-        b.out, b.moved_ns = True, now
-        self.host.withdraw(place, True)
-        self.host.record(f"suspect {place} withdrawn: drops {share:.0%} more than the fleet")
-        rest = CLIMB_REPORTS * 2 ** min(b.strikes, OUT_DOUBLES) * (0.75 + self.chance() / 2)
-        b.strikes += 1
-        self.later(now + int(rest * self.set.report_ns), "trial", place)
-
-    def spare(self, now: int, place: int) -> bool:
-        """Whether every table that names this backend keeps enough without it, and a warm line."""
-        for table in self.tables:
-            if place not in table:
-                continue
-            left = {p: w for p, w in table.items() if p != place and not self.backends[p].out}
-            enough = sum(left.values()) >= (1 - OUT_MOST) * sum(table.values())
-            if not enough or all(self.cold(now, self.backends[p]) for p in left):
-                return False
-        return True
-
-    def trial(self, now: int, place: int) -> None:
-        """Lets a suspect back on a new server's share; a further failure takes it out for longer."""
-        backend = self.backends[place]
-        if not backend.out:
-            return
-        if not self.take(now, self.users(place), 2, KEEP_GUARD):
-            return self.later(now + self.tick_ns, "trial", place)
-        backend.out = False
-        self.step(now, place, len(RUNGS) - 1)
-        for number, table in enumerate(self.tables):
-            zone, group = divmod(number, len(self.groups))
-            if place in table:
-                table[place] = self.wanted(now, zone, self.groups[group][1]).get(place, table[place])
-                self.host.set_line(number, place, table[place])
-        self.host.withdraw(place, False)
-
     # -- levels
 
     def lowest(self, now: int, seen: deque[tuple[int, float]], value: float) -> float:
