Wait longer between verdicts, and let evidence fade while nothing is heard

Cause: a silent suspect stayed one for ever, and verdicts came before the last one's effect was heard, so the ladder swung.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -48,7 +48,7 @@
 LEAST_QUEUE = 2.0  # with fewer calls waiting a server is not the one that dawdles, a stalled proxy may be
 SLOW = 1.7  # times the fleet's median latency that costs a rung, if it is too near the SLO time as well
 RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1, 0.01)  # parts of its listed weight that a suspect keeps
-VERDICT_REPORTS = 3.0  # a verdict waits so many reports (and an order's way) to hear what the last did
+VERDICT_REPORTS = 5.0  # a verdict waits so many reports (and an order's way) to hear what the last did
 CLIMB_REPORTS = 8.0  # a rung is won back after so many
 REST_DOUBLES = 3  # each failed trial doubles the time on the last rung, so often
 
@@ -127,6 +127,7 @@
         self.failures = 0
         self.slices: dict[int, dict[int, float]] = {}
         self.moving: dict[int, int] = {}  # slices whose owner is gone, and when the next may follow
+        self.half_ns = HALF_REPORTS * settings.report_ns
         self.tick_ns = settings.report_ns // TICKS_A_REPORT
         host.wake_in(self.tick_ns)
         if settings.subscribe:
@@ -327,10 +328,9 @@
         backend = self.backends.get(place)
         if backend is None or covers_ns <= 0:
             return
-        half = HALF_REPORTS * self.set.report_ns
         view = self.views[zone]
         for met in (backend.met, view.met):
-            met.add(now, half, tries, bad, latency_ns)
+            met.add(now, self.half_ns, tries, bad, latency_ns)
         backend.queue = load.get("queue", backend.queue)
         # Only good answers count, so quick errors lift nothing; rates come from what a line covers, so late
         # bundles are no jump.
@@ -367,10 +367,10 @@
         A full server gets better with less; an ill one does not, and goes on down: one ladder answers a slow
         machine, a full one, quick errors, hanging and silence. If all are ill, none is. It can harm where the
         rest has no room for what a suspect gives up."""
+        for b in self.backends.values():  # what is no longer heard fades too, or a silent suspect stays one
+            b.met.add(now, self.half_ns, 0, 0, 0)
         heard = [b.met for b in self.backends.values() if b.ready and b.met.tries >= LEAST_TRIES]
-        if not heard:
-            return
-        usual = median(m.bad / m.tries for m in heard)
+        usual = median(m.bad / m.tries for m in heard) if heard else 0.0
         waits = [m.spent / (m.tries - m.bad) for m in heard if m.tries - m.bad >= 1]
         slow = max(SLOW * median(waits), SLO_PART * self.slo_ns) if waits else 0.0
         wait = int(VERDICT_REPORTS * self.set.report_ns) + self.set.delay_most_ns
