--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -238,9 +238,9 @@
         view = self.views[zone]
         ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        if view.jam and warm and self.set.ejects:
+        if warm and (view.jam and self.set.ejects or now - self.born_ns < FRESH_NS):
             # Guards against pushing over a cold server where proxies avoid the warm ones after a run of
-            # drops: it would get all they have, whatever its weight. It warms up outside.
+            # drops, as a fresh controller must fear: it would get all they have. It warms up outside.
             ready = warm
         own = {p: b for p, b in ready.items() if b.zone == zone}
         if not own:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -142,6 +142,15 @@
     assert 6 not in fleet.tables[0]
 
 
+def test_a_fresh_controller_names_no_cold_server_before_it_has_heard() -> None:
+    fleet = Fleet()
+    fleet.module.listed(fleet.now, "disk", [entry(0, 0), entry(1, 1), entry(2, 0, since=fleet.now - SECOND)])
+    fleet.join(0, 0)
+    assert 2 not in fleet.pick(0, 0)
+    fleet.run(8)
+    assert 2 in fleet.pick(0, 0)
+
+
 def test_a_cold_server_gets_less_where_calls_are_many_and_others_few() -> None:
     shares = {}
     for tries in (5, 400):
