--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -24,7 +24,7 @@
 GAIN = 0.1
 CAP = 2.0
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
-JAM = 0.2, 0.1  # dropped share of a zone's tries from which it is jammed, and under which no longer
+JAM = 0.1, 0.05  # dropped share of a zone's tries from which it is jammed, and under which no longer
 PROVEN = 0.5  # a budget never falls below this part of the best throughput of the window
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
@@ -446,7 +446,8 @@
         for zone in range(self.set.zones):
             todo: dict[tuple[int, tuple[float, int]], int] = {}
             for table, mask, _ in self.zone_tables(zone):
-                for k, grant in enumerate(grants):
+                for k, (level, retry) in enumerate(grants):
+                    grant = level, 0 if self.views[zone].jam else retry
                     if mask >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
                         todo[table, grant] = todo.get((table, grant), 0) | 1 << k
             if todo and self.send(now, zone, len(todo)):
--- a/meadowworks/wirehost/wire.py
+++ b/meadowworks/wirehost/wire.py
@@ -162,7 +162,7 @@
             proxy = int(v[2])
             return lambda now: module.left(now, proxy)
         case "STATS":
-            zone, backend, load = host.zones[v[2]], host.backends[v[3]], host.load(v[8])
+            zone, backend, load = host.zones[v[2]], host.index(v[3]), host.load(v[8])
             tries, bad, latency, covers = int(v[4]), int(v[5]), int(v[6]) * 1000, int(v[7]) * 1000
             return lambda now: module.heard(now, zone, backend, tries, bad, latency, covers, load)
         case "DEMAND":
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -30,8 +30,9 @@
 
 def test_a_short_exchange() -> None:
     replies = answer("", f"{SPAWN}\n{LIST}\n", "CONNECTED\tcontroller-3\t2\teast\t6.5\t1\n",
+                     "STATS\tcontroller-3\teast\t10.0.0.9:80\t14\t1\t48250\t500000\tqueue:3\n",
                      "LEFT\tcontroller-3\t2\nLEFT\tcontroller-3\t2\n", "DOWN\tcontroller-3\n")
-    assert replies[0] == replies[3] == replies[4] == ""
+    assert replies[0] == replies[3] == replies[4] == replies[5] == ""  # odd but legal: a backend in no list
     assert "TRACK\tcontroller-3\t1\n" in replies[1]
     assert "UPSERT\tcontroller-3\t0\t10.0.0.1:80\t1.5\n" in replies[1]
     assert "SUBSCRIBE_TO\tcontroller-3\t0\t2\t0\n" in replies[2]
