--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -25,14 +25,14 @@
 CAP = 2.0
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
 JAM = 0.1, 0.05  # dropped share of a zone's tries from which it is jammed, and under which no longer
+CALM = 3.0  # times as many where proxies avoid nobody
 PROVEN = 0.5  # a budget never falls below this part of the best throughput of the window
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
 LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
 SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
-TIP_PART = 0.6  # of what tips a cold server is the most that a zone's table may send it
-TIP_HALVES = 5  # its weight is halved for that so often at most
+NET, NET_MOST = 2.0, 0.15  # weight abroad beside cold servers, as a part of theirs, and of a table's
 RAMP_COLD = 2.0  # a new server rises over so many cold times: 30 s where a server is warm after 15
 RAMP = ((0.0, 0.1), (0.2, 0.3), (0.45, 0.6), (0.75, 1.0))  # (part of that time, part of the listed weight)
 
@@ -118,9 +118,8 @@
         self.tables: list[dict[int, float]] = [{} for _ in range(settings.zones * len(self.groups))]
         self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in self.tables]
         self.views = [View() for _ in range(settings.zones)]
-        self.best: deque[tuple[int, float]] = deque()  # (when, -throughput), see lowest()
+        self.best: deque[tuple[int, float]] = deque()  # (when, -throughput of a weight), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
-        self.unit = 0.0  # calls a second that a unit of weight has answered
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.queue, self.queue_ns = 0.0, now_ns
@@ -216,7 +215,7 @@
             return
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(count)]
         for zone, view in enumerate(self.views):
-            share = view.met.bad / max(view.met.tries, LEAST_TRIES)
+            share = view.met.bad / max(view.met.tries, LEAST_TRIES) / (1 if self.set.ejects else CALM)
             if share > JAM[0] if not view.jam else share < JAM[1]:
                 view.jam = not view.jam
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
@@ -238,7 +237,7 @@
         view = self.views[zone]
         ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        if warm and (view.jam and self.set.ejects or now - self.born_ns < FRESH_NS):
+        if warm and (view.jam or now - self.born_ns < FRESH_NS):
             # Guards against pushing over a cold server where proxies avoid the warm ones after a run of
             # drops, as a fresh controller must fear: it would get all they have. It warms up outside.
             ready = warm
@@ -250,16 +249,14 @@
             for place, b in ready.items():
                 if b.zone != zone and view.abroad[b.zone] > 0:
                     lines[place] = max(b.weight, 1e-3) * self.part(now, b) * view.abroad[b.zone]
-        rate = view.met.tries * (1 - 0.5 ** (1 / HALF_REPORTS)) * SECOND / self.set.report_ns
-        total = sum(lines.values())
-        for place in lines:
-            # Guards against pushing over a cold server where few others are left or calls are many.
-            age = (now - ready[place].since_ns) / self.set.cold_ns
-            able = (self.set.cold_share + (1 - self.set.cold_share) * age) * self.unit * ready[place].weight
-            for _ in range(TIP_HALVES if age < 1 and self.unit else 0):
-                if lines[place] * rate > TIP_PART * self.set.tip_multiple * able * total:
-                    lines[place] /= 2
-                    total -= lines[place]
+        # Guards against pushing over a cold server when the warm ones beside it go off at one stroke: what
+        # they then turn away finds others abroad as well. It costs a few calls that cross zones.
+        frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
+        net = {p: b.weight * self.part(now, b) for p, b in warm.items() if p not in lines}
+        away = sum(w for p, w in lines.items() if p not in own)
+        lack = min(NET * frail, NET_MOST * sum(lines.values())) - away
+        for place, weight in net.items() if lack > 0 else ():
+            lines[place] = lack * weight / sum(net.values())
         return lines
 
     def cold(self, now: int, backend: Backend) -> bool:
@@ -423,9 +420,9 @@
         known = [view.calls for view in self.views if view.calls >= 0]
         # What was answered lately can be answered again: guards against a level that feeds on itself, as
         # throttled calls leave little throughput to grow from.
-        best = -self.lowest(now, self.best, -total)
-        self.unit = best / max(1e-9, sum(b.weight for b in self.backends.values() if b.ready))
-        return max(median(known), PROVEN * best) if known else -1.0
+        weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
+        proven = -self.lowest(now, self.best, -total / weight) * weight
+        return max(median(known), PROVEN * proven) if known else -1.0
 
     def spend(self, now: int) -> None:
         """One budget over all routes, the more important first; levels go out on change."""
