--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -223,7 +223,7 @@
             if SPILL_AT < keep <= SPILL_AT + (SPILL_STEP if view.keep < 1 else 0):
                 keep = SPILL_AT
             keep = 1.0 if keep > SPILL_AT else keep
-            if abs(keep - view.keep) < SPILL_STEP and (keep < 1.0 or view.keep == 1.0):
+            if abs(keep - view.keep) <= SPILL_STEP * view.keep and (keep < 1.0 or view.keep == 1.0):
                 continue
             if (keep == 1.0) != (view.keep == 1.0):
                 self.host.record(f"zone {zone} " + ("keeps calls" if keep == 1.0 else "sends calls abroad"))
