--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -120,6 +120,7 @@
         self.views = [View() for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, -throughput of a weight), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
+        self.grants: list[tuple[float, int]] = []  # level and further tries by route, once there are any
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.queue, self.queue_ns = 0.0, now_ns
@@ -283,13 +284,22 @@
         self.balance(now)
         for zone in range(self.set.zones):
             todo, drains = [], False
-            for table, _, home in self.zone_tables(zone):
+            levels: dict[tuple[int, tuple[float, int]], int] = {}
+            for table, routes, home in self.zone_tables(zone):
+                for k, (level, retry) in enumerate(self.grants):
+                    grant = level, 0 if self.views[zone].jam else retry  # further tries feed a jam
+                    if routes >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
+                        levels[table, grant] = levels.get((table, grant), 0) | 1 << k
                 have, want = self.tables[table], self.wanted(now, zone, home)
                 todo += [(table, p, w) for p, w in want.items() if abs(have.get(p, 0.0) - w) > 1e-6]
                 todo += [(table, p, 0.0) for p in have if p not in want]
                 drains = drains or any(not self.backends[p].ready for p in have)
-            if not todo or not self.send(now, zone, len(todo), drains):
+            # Lines and levels go as one message, so neither uses up the room of the other.
+            if not todo and not levels or not self.send(now, zone, len(todo) + len(levels), drains):
                 continue
+            for (table, grant), mask in levels.items():
+                self.host.admit(table, mask, *grant)
+                self.levels[table].update((k, grant) for k in range(len(self.grants)) if mask >> k & 1)
             for table, place, weight in todo:
                 self.host.set_line(table, place, weight)
                 if weight:
@@ -350,11 +360,10 @@
             act()
         if not self.set.slices and self.set.reports:
             self.judge(now)
+            self.spend(now)
         self.settle(now)
         for number in self.proxies:
             self.bind(now, number)
-        if not self.set.slices and self.set.reports:
-            self.spend(now)
 
     # -- health
 
@@ -440,17 +449,7 @@
             left = max(0.0, left - level * calls)
             for k in same:
                 grants[k] = round(level / LEVEL_STEP) * LEVEL_STEP, 1
-        for zone in range(self.set.zones):
-            todo: dict[tuple[int, tuple[float, int]], int] = {}
-            for table, mask, _ in self.zone_tables(zone):
-                for k, (level, retry) in enumerate(grants):
-                    grant = level, 0 if self.views[zone].jam else retry
-                    if mask >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
-                        todo[table, grant] = todo.get((table, grant), 0) | 1 << k
-            if todo and self.send(now, zone, len(todo)):
-                for (table, grant), mask in todo.items():
-                    self.host.admit(table, mask, *grant)
-                    self.levels[table].update((k, grant) for k in range(len(routes)) if mask >> k & 1)
+        self.grants = grants
 
     # -- sites with slices: no tuning, no rule broken
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -165,3 +165,15 @@
     fleet.module.listed(fleet.now, "changes", [entry(0, 0, since=fleet.now)])
     fleet.run(2)
     assert fleet.tables[0][0] < 0.1 * sum(fleet.tables[0].values())
+
+
+def test_levels_reach_a_zone_whose_table_changes_every_second() -> None:
+    fleet = started()
+    for k in range(12):
+        for p in fleet.bound:
+            for route in range(3):
+                fleet.module.asked(fleet.now, p, route, 100, 0, SECOND)
+        fleet.report({}, latency=(4 if k else 1) * SECOND)
+        fleet.module.listed(fleet.now, "changes", [entry(0, 0, weight=2.0 + k % 2)])
+        fleet.run(1)
+    assert fleet.levels[0, 1][0] < 1.0 and fleet.levels[0, 1][0] <= fleet.levels[0, 0][0]
