--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -26,7 +26,7 @@
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
 JAM = 0.1, 0.05  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
-PROVEN = 0.5  # a budget never falls below this part of the best throughput of the window
+PROVEN, PROVEN_CALM = 0.4, 0.8  # a budget never falls below this part of the best throughput of the window
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
@@ -98,6 +98,7 @@
     lows: deque[tuple[int, float]] = field(default_factory=deque)  # (when, latency), see lowest()
     lines: dict[int, tuple[float, float, int]] = field(default_factory=dict)  # good a second, latency, until
     fresh: bool = False
+    calm: bool = True  # heard latency is fair
     met: Met = field(default_factory=Met)
     jam: bool = False  # most of the zone's tries fail
     keep: float = 1.0  # the part of its calls that the zone keeps, and parts of weight elsewhere, by zone
@@ -424,6 +425,7 @@
                 latency = sum(rate * lag for rate, lag, _ in view.lines.values()) / good
                 base = self.lowest(now, view.lows, latency)
                 cut = max(TOLERANCE * base, SLO_PART * self.slo_ns) / max(latency, 1)
+                view.calm = cut >= 1
                 old = view.calls if view.calls >= 0 else CAP * total
                 view.calls = min(CAP * total, old * min(1.0, max(LEAST_CUT, cut)) + GAIN * total)
         known = [view.calls for view in self.views if view.calls >= 0]
@@ -431,7 +433,8 @@
         # throttled calls leave little throughput to grow from.
         weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
         proven = -self.lowest(now, self.best, -total / weight) * weight
-        return max(median(known), PROVEN * proven) if known else -1.0
+        part = PROVEN_CALM if all(view.calm for view in self.views) else PROVEN
+        return max(median(known), part * proven) if known else -1.0
 
     def spend(self, now: int) -> None:
         """One budget over all routes, the more important first; levels go out on change."""
