--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -440,8 +440,7 @@
         """One budget over all routes, the more important first; levels go out on change."""
         routes = self.set.routes
         asked = [sum(p.asked.get(k, 0.0) for p in self.proxies.values()) + 1e-9 for k in range(len(routes))]
-        # The harmonic mean: a queue delays all routes alike, and the hasty ones feel it first.
-        self.slo_ns = sum(asked) / sum(a / r.slo_ns for a, r in zip(asked, routes, strict=True))
+        self.slo_ns = sum(a * r.slo_ns for a, r in zip(asked, routes, strict=True)) / sum(asked)
         left = self.estimate(now)
         if now - self.born_ns < FRESH_NS or left < 0:
             return
