--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -33,8 +33,9 @@
 LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
 SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
 NET, NET_MOST = 2.0, 0.15  # weight abroad beside cold servers, as a part of theirs, and of a table's
-RAMP_COLD = 2.0  # a new server rises over so many cold times: 30 s where a server is warm after 15
-RAMP = ((0.0, 0.1), (0.2, 0.3), (0.45, 0.6), (0.75, 1.0))  # (part of that time, part of the listed weight)
+RAMP_COLD = 1.0  # a new server rises over so many cold times (the design starts from 30 s, twice as long)
+# (part of that time, part of the listed weight): a little behind the least that it can then do
+RAMP = ((0.0, 0.1), (0.1, 0.25), (0.25, 0.45), (0.45, 0.65), (0.7, 0.85), (0.9, 1.0))
 
 TICKS_A_REPORT = 2  # half a report period is the longest that news waits to be acted on
 CHANNEL_TRUST = 0.5  # the channel may run at half its stated rate without the queue passing its cap
