--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -27,7 +27,6 @@
 JAM = 0.1, 0.05  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
 PROVEN, PROVEN_CALM = 0.4, 0.8  # a budget never falls below this part of the best throughput of the window
-COME_GAIN, COME_LEAST = 0.1, 0.4  # how fast the part that comes through is followed, and its least
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
@@ -98,8 +97,7 @@
 
     calls: float = -1.0  # under 0: nothing heard yet
     lows: deque[tuple[int, float]] = field(default_factory=deque)  # (when, latency), see lowest()
-    lines: dict[int, tuple[float, float, float, int]] = field(default_factory=dict)
-    # of a backend: good a second, their latency, tries a second, and until when the line counts
+    lines: dict[int, tuple[float, float, int]] = field(default_factory=dict)  # good a second, latency, until
     fresh: bool = False
     calm: bool = True  # heard latency is fair
     met: Met = field(default_factory=Met)
@@ -124,7 +122,6 @@
         self.views = [View() for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, -throughput of a weight), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
-        self.came = self.meant = 0.0  # tries a second that came through, and that levels meant to let in
         self.grants: list[tuple[float, int]] = []  # level and further tries by route, once there are any
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, Callable[[], None]]] = []
@@ -347,8 +344,7 @@
         # Only good answers count, so quick errors lift nothing; rates come from what a line covers, so late
         # bundles are no jump.
         until = now + 2 * max(covers_ns, self.set.report_ns)
-        rate = SECOND / covers_ns
-        view.lines[place] = (tries - bad) * rate, latency_ns, tries * rate, until
+        view.lines[place] = (tries - bad) * SECOND / covers_ns, latency_ns, until
         view.fresh = True
 
     def asked(self, now: int, number: int, route: int, calls: int, dropped: int, covers_ns: int) -> None:
@@ -421,13 +417,13 @@
     def estimate(self, now: int) -> float:
         """The median of the zones' views of what all backends can answer, in calls a second."""
         for view in self.views:
-            view.lines = {p: line for p, line in view.lines.items() if line[3] > now}
-        total = sum(rate for view in self.views for rate, *_ in view.lines.values())
+            view.lines = {p: line for p, line in view.lines.items() if line[2] > now}
+        total = sum(rate for view in self.views for rate, _, _ in view.lines.values())
         for view in self.views:
-            good = sum(rate for rate, *_ in view.lines.values())
+            good = sum(rate for rate, _, _ in view.lines.values())
             if view.fresh and good > 0:
                 view.fresh = False
-                latency = sum(rate * lag for rate, lag, *_ in view.lines.values()) / good
+                latency = sum(rate * lag for rate, lag, _ in view.lines.values()) / good
                 base = self.lowest(now, view.lows, latency)
                 cut = max(TOLERANCE * base, SLO_PART * self.slo_ns) / max(latency, 1)
                 view.calm = cut >= 1
@@ -449,15 +445,6 @@
         left = self.estimate(now)
         if now - self.born_ns < FRESH_NS or left < 0:
             return
-        # Guards against a level that feeds on itself: throttled clients come again, and where they get the
-        # same answer their repeats swell heard demand but never come through. What came through tells.
-        came = sum(tries for view in self.views for _, _, tries, _ in view.lines.values())
-        held = self.grants or [(1.0, 1)] * len(routes)
-        meant = sum(a * level for a, (level, _) in zip(asked, held, strict=True))
-        self.came += COME_GAIN * (came - self.came)
-        self.meant += COME_GAIN * (meant - self.meant)
-        if all(view.calm for view in self.views):
-            left /= min(1.0, max(COME_LEAST, self.came / max(self.meant, 1e-9)))
         grants = [(1.0, 1)] * len(routes)
         for importance in sorted({r.importance for r in routes}, reverse=True):
             same = [k for k, r in enumerate(routes) if r.importance == importance]
