Judge and spend without load reports too, and give rates where levels are rates

But without load reports the module did nothing, and a level of 1 was one call a second where levels are rates: both mended, with tests for these, for slices and for routes confined to their zone.

--- a/meadowworks/host.py
+++ b/meadowworks/host.py
@@ -39,7 +39,6 @@
     base_retry: int
     ejects: int  # a proxy avoids a backend after so many drops in a row; 0: never
     report_ns: int
-    reports: bool
     fixed_weights: bool
     channel_rate: float
     queue_cap: float
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -30,6 +30,7 @@
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
+OPEN_RATE = 1e6  # calls a second at a proxy that stand for an open level where levels are rates
 LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
 SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
 NET, NET_MOST = 2.0, 0.15  # weight abroad beside cold servers, as a part of theirs, and of a table's
@@ -360,7 +361,7 @@
         while self.due and self.due[0][0] <= now:
             _, _, act = heapq.heappop(self.due)
             act()
-        if not self.set.slices and self.set.reports:
+        if not self.set.slices:
             self.judge(now)
             self.spend(now)
         self.settle(now)
@@ -453,6 +454,9 @@
             left = max(0.0, left - level * calls)
             for k in same:
                 grants[k] = round(level / LEVEL_STEP) * LEVEL_STEP, 1
+                if self.set.level_kind == "rate":  # calls a second at each proxy
+                    busiest = max((p.asked.get(k, 0.0) for p in self.proxies.values()), default=0.0)
+                    grants[k] = OPEN_RATE if level >= 1 else float(f"{level * busiest:.1g}") + 1, 1
         self.grants = grants
 
     # -- sites with slices: no tuning, no rule broken
--- a/meadowworks/wirehost/settings.py
+++ b/meadowworks/wirehost/settings.py
@@ -69,7 +69,6 @@
         base_retry=round(number("extra.base_mode")),
         ejects=round(float(options.get("extra.ejects", "0"))),
         report_ns=span("extra.cycle_us"),
-        reports=options.get("feedback.via") == "piggyback",
         fixed_weights=options.get("weight_kind") != "live",
         channel_rate=number("extra.channel_rate"),
         queue_cap=number("extra.queue_cap"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,7 +13,7 @@
 )
 SETTINGS = Settings(
     routes=ROUTES, zones=2, position=0, controllers=1, proxies=6, subscribe=True, ask_within_ns=10 * SECOND,
-    level_kind="share", base_retry=1, ejects=5, report_ns=SECOND // 2, reports=True,
+    level_kind="share", base_retry=1, ejects=5, report_ns=SECOND // 2,
     fixed_weights=True, channel_rate=800.0, queue_cap=1600.0, head=10.0,
     messages_most=20, messages_over_ns=10 * SECOND,
     delay_ns=SECOND // 8, delay_most_ns=SECOND // 3, bare_ns=5 * SECOND, grace_ns=2 * SECOND, cold_share=0.3,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from meadowworks.rules import RUNGS
-from tests.helpers import SECOND, SETTINGS, Fleet, entry, started
+from tests.helpers import ROUTES, SECOND, SETTINGS, Fleet, entry, started
 
 STEP = st.one_of(
     st.tuples(st.just("join"), st.integers(0, 5), st.integers(0, 1)),
@@ -177,3 +179,37 @@
         fleet.module.listed(fleet.now, "changes", [entry(0, 0, weight=2.0 + k % 2)])
         fleet.run(1)
     assert fleet.levels[0, 1][0] < 1.0 and fleet.levels[0, 1][0] <= fleet.levels[0, 0][0]
+
+
+def test_a_slice_gets_a_ready_backend_and_an_owner_is_followed_only_after_its_writes() -> None:
+    for exclusive in (False, True):
+        fleet = Fleet(replace(SETTINGS, slices=4, exclusive=exclusive))
+        fleet.module.listed(fleet.now, "disk", [entry(0, 0), entry(1, 1)])
+        fleet.module.slice_given(fleet.now, 2, True)
+        fleet.module.slice_line(fleet.now, 2, 0, 1.0)
+        fleet.module.listed(fleet.now, "changes", [entry(0, 0, "draining")])
+        fleet.run(1)
+        if exclusive:
+            assert 2 not in fleet.tables and {fleet.levels[2, k][0] for k in range(3)} == {0.0}
+            fleet.run(5)
+            assert {fleet.levels[2, k][0] for k in range(3)} == {1.0}
+        assert fleet.tables[2][1] == 1.0
+
+
+def test_a_route_confined_to_its_zone_has_a_table_never_filled_from_outside() -> None:
+    confined = (replace(ROUTES[0], home_only=True), *ROUTES[1:])
+    fleet = started(replace(SETTINGS, routes=confined))
+    fleet.module.listed(fleet.now, "changes", [entry(b, 0, "gone") for b in (0, 2)])
+    fleet.run(2)
+    assert fleet.pick(0, 0) == {4} and fleet.pick(0, 1) >= {1, 3, 4, 5}
+
+
+def test_levels_are_rates_where_the_site_says_so() -> None:
+    fleet = started(replace(SETTINGS, level_kind="rate"))
+    for k in range(8):
+        for p in fleet.bound:
+            for route in range(3):
+                fleet.module.asked(fleet.now, p, route, 100, 0, SECOND)
+        fleet.report({}, latency=(4 if k else 1) * SECOND)
+        fleet.run(1)
+    assert 1.0 < fleet.levels[0, 1][0] < 100.0
