--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -34,9 +34,9 @@
 LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
 SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
 NET, NET_MOST = 2.0, 0.15  # weight abroad beside cold servers, as a part of theirs, and of a table's
-RAMP_COLD = 1.0  # a new server rises over so many cold times (the design starts from 30 s, twice as long)
-# (part of that time, part of the listed weight): a little behind the least that it can then do
-RAMP = ((0.0, 0.1), (0.1, 0.25), (0.25, 0.45), (0.45, 0.65), (0.7, 0.85), (0.9, 1.0))
+# A new server enters at a tenth and rises in these steps of its cold time (the design starts from 30 s), each
+# time to this part of the least that it can then do, and at last to all.
+ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
 
 TICKS_A_REPORT = 2  # half a report period is the longest that news waits to be acted on
 CHANNEL_TRUST = 0.5  # the channel may run at half its stated rate without the queue passing its cap
@@ -197,8 +197,10 @@
         rung = RUNGS[backend.rung]
         if not backend.since_ns:
             return rung
-        age = (now - backend.since_ns) / (RAMP_COLD * self.set.cold_ns)
-        return rung * max((share for start, share in RAMP if age >= start), default=RAMP[0][1])
+        age = (now - backend.since_ns) / self.set.cold_ns
+        step = max((start for start in RAMP if age >= start), default=0.0)
+        least = self.set.cold_share + (1 - self.set.cold_share) * step
+        return rung * (1.0 if step == RAMP[-1] else RAMP_PART * least if step else ENTRY)
 
     def balance(self, now: int) -> None:
         """Finds the zones whose servers have less room than their calls' fair share, and where there is more.
