--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -24,7 +24,7 @@
 GAIN = 0.1
 CAP = 2.0
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
-JAM = 0.1, 0.05  # dropped share of a zone's tries from which it is jammed, and under which no longer
+JAM = 0.1, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
 PROVEN, PROVEN_CALM = 0.4, 0.8  # a budget never falls below this part of the best throughput of the window
 FLOOR = 0.1  # a level never falls below this
@@ -33,7 +33,7 @@
 OPEN_RATE = 1e6  # calls a second at a proxy that stand for an open level where levels are rates
 LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
 SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
-NET, NET_MOST = 2.0, 0.15  # weight abroad beside cold servers, as a part of theirs, and of a table's
+NET, NET_MOST = 2.0, 0.25  # weight abroad beside cold servers, as a part of theirs, and of a table's
 # A new server enters at a tenth and rises in these steps of its cold time (the design starts from 30 s), each
 # time to this part of the least that it can then do, and at last to all.
 ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
@@ -258,7 +258,7 @@
         # Guards against pushing over a cold server when the warm ones beside it go off at one stroke: what
         # they then turn away finds others abroad as well. It costs a few calls that cross zones.
         frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
-        net = {p: b.weight * self.part(now, b) for p, b in warm.items() if p not in lines}
+        net = {p: b.weight * self.part(now, b) for p, b in ready.items() if p not in lines}
         away = sum(w for p, w in lines.items() if p not in own)
         lack = min(NET * frail, NET_MOST * sum(lines.values())) - away
         for place, weight in net.items() if lack > 0 else ():
