--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -39,6 +39,7 @@
 ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
 
 TICKS_A_REPORT = 2  # half a report period is the longest that news waits to be acted on
+STALL_TICKS = 3  # a turn that comes so many ticks after the last one was held up
 CHANNEL_TRUST = 0.5  # the channel may run at half its stated rate without the queue passing its cap
 KEEP_DRAIN, KEEP_JOIN, KEEP_USUAL = 0.1, 0.3, 0.5  # parts of the caps that orders of a kind leave free
 ASK_PART = 0.05  # first wait after a list call failed, of the time within which to ask; doubled each time
@@ -111,7 +112,7 @@
     def __init__(self, host: Host, settings: Settings, seed: int, now_ns: int) -> None:
         self.host, self.set, self.seed = host, settings, seed
         self.count = 0
-        self.born_ns = now_ns
+        self.born_ns = self.blind_ns = self.ticked_ns = now_ns
         self.backends: dict[int, Backend] = {}
         self.proxies: dict[int, Proxy] = {}
         homes = [k for k, r in enumerate(settings.routes) if r.home_only]
@@ -243,9 +244,9 @@
         view = self.views[zone]
         ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        if warm and (view.jam or now - self.born_ns < FRESH_NS):
+        if warm and (view.jam or now - self.blind_ns < FRESH_NS):
             # Guards against pushing over a cold server where proxies avoid the warm ones after a run of
-            # drops, as a fresh controller must fear: it would get all they have. It warms up outside.
+            # drops, as a fresh or often stalled controller must fear: it would get all they have.
             ready = warm
         own = {p: b for p, b in ready.items() if b.zone == zone}
         if not own:
@@ -360,6 +361,10 @@
 
     def tick(self, now: int) -> None:
         self.host.wake_in(self.tick_ns)
+        if now - self.ticked_ns > STALL_TICKS * self.tick_ns:
+            self.blind_ns = now  # it stood still, and may again: what happens next is heard late
+            self.host.record("stood still")
+        self.ticked_ns = now
         while self.due and self.due[0][0] <= now:
             _, _, act = heapq.heappop(self.due)
             act()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -213,3 +213,14 @@
         fleet.report({}, latency=(4 if k else 1) * SECOND)
         fleet.run(1)
     assert 1.0 < fleet.levels[0, 1][0] < 100.0
+
+
+def test_a_controller_that_stands_still_names_no_cold_server_for_a_while() -> None:
+    fleet = started()
+    fleet.now += 2 * SECOND
+    fleet.run(0.25)
+    fleet.module.listed(fleet.now, "changes", [entry(6, 0, since=fleet.now)])
+    fleet.run(2)
+    assert 6 not in fleet.tables[0]
+    fleet.run(5)
+    assert 6 in fleet.tables[0]
