--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -52,6 +52,7 @@
 SLOW = 1.7  # times the fleet's median latency that costs a rung, if it is too near the SLO time as well
 RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1, 0.01)  # parts of its listed weight that a suspect keeps
 VERDICT_REPORTS = 5.0  # a verdict waits so many reports (and an order's way) to hear what the last did
+SILENT, HASTE = 0.95, 0.2  # dropped share of one that answers nothing, and its part of that wait
 CLIMB_REPORTS = 8.0  # a rung is won back after so many
 REST_DOUBLES = 3  # each failed trial doubles the time on the last rung, so often
 
@@ -392,9 +393,9 @@
         wait = int(VERDICT_REPORTS * self.set.report_ns) + self.set.delay_most_ns
         last = len(RUNGS) - 1
         for place, b in self.backends.items():
-            if not b.ready or now - b.moved_ns < wait:
-                continue
             share = b.met.bad / b.met.tries - usual if b.met.tries >= LEAST_TRIES else 0.0
+            if not b.ready or now - b.moved_ns < (HASTE if b.met.bad > SILENT * b.met.tries else 1) * wait:
+                continue
             good = b.met.tries - b.met.bad
             slower = good >= LEAST_TRIES and b.met.spent / good >= slow and not 0 <= b.queue < LEAST_QUEUE
             rest = int(CLIMB_REPORTS * self.set.report_ns)
