--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -294,10 +294,7 @@
             levels: dict[tuple[int, tuple[float, int]], int] = {}
             for table, routes, home in self.zone_tables(zone):
                 for k, (level, retry) in enumerate(self.grants):
-                    view = self.views[zone]
-                    if self.set.routes[k].repeatable and view.calm and level >= 1:
-                        retry = 2
-                    grant = level, 0 if view.jam else retry  # further tries feed a jam
+                    grant = level, 0 if self.views[zone].jam else retry  # further tries feed a jam
                     if routes >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
                         levels[table, grant] = levels.get((table, grant), 0) | 1 << k
                 have, want = self.tables[table], self.wanted(now, zone, home)
