Judge a server that reports a queue by its latency, not by what it turns away

Guards also against queues that time out; can harm where an ill server still reports a queue, until its latency shows.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -381,9 +381,9 @@
     def judge(self, now: int) -> None:
         """Moves each backend down the rungs while it drops or dawdles far more than the fleet, and up again.
 
-        A full server gets better with less; an ill one does not, and goes on down: one ladder answers a slow
-        machine, a full one, quick errors, hanging and silence. If all are ill, none is. It can harm where the
-        rest has no room for what a suspect gives up."""
+        One ladder answers a slow machine, a full one, quick errors, hanging and silence. If all are ill, none
+        is. One that reports a queue is full rather than ill, and judged by its latency unless it answers
+        nothing. It can harm where the rest has no room for what a suspect gives up."""
         for b in self.backends.values():  # what is no longer heard fades too, or a silent suspect stays one
             b.met.add(now, self.half_ns, 0, 0, 0)
         heard = [b.met for b in self.backends.values() if b.ready and b.met.tries >= LEAST_TRIES]
@@ -400,7 +400,8 @@
             slower = good >= LEAST_TRIES and b.met.spent / good >= slow and not 0 <= b.queue < LEAST_QUEUE
             rest = int(CLIMB_REPORTS * self.set.report_ns)
             rest *= 2 ** min(b.strikes, REST_DOUBLES) if b.rung == last else 1
-            if share >= ILL or slower:
+            full = b.queue >= LEAST_QUEUE and b.met.bad <= SILENT * b.met.tries
+            if share >= ILL and not full or slower:
                 if b.rung < last:
                     self.step(now, place, last if share >= DEAD else b.rung + 1)
             elif b.rung and now - b.moved_ns >= rest:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -224,3 +224,14 @@
     assert 6 not in fleet.tables[0]
     fleet.run(5)
     assert 6 in fleet.tables[0]
+
+
+def test_a_full_server_is_judged_by_its_latency_and_not_by_what_it_turns_away() -> None:
+    for queue, eased in ((9.0, False), (0.0, True)):
+        fleet = started()
+        for _ in range(4):
+            for b in range(6):
+                bad = 8 if b == 2 else 0
+                fleet.module.heard(fleet.now, b % 2, b, 20, bad, SECOND // 10, SECOND // 2, {"queue": queue})
+            fleet.run(1)
+        assert (fleet.tables[0][2] < 2.0) == eased
