--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -24,7 +24,7 @@
 GAIN = 0.1
 CAP = 2.0
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
-JAM = 0.1, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
+JAM = 0.08, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
 PROVEN, PROVEN_CALM = 0.4, 0.8  # a budget never falls below this part of the best throughput of the window
 FLOOR = 0.1  # a level never falls below this
@@ -343,8 +343,8 @@
         if backend is None or covers_ns <= 0:
             return
         view = self.views[zone]
-        for met in (backend.met, view.met):
-            met.add(now, self.half_ns, tries, bad, latency_ns)
+        backend.met.add(now, self.half_ns, tries, bad, latency_ns)
+        view.met.add(now, self.half_ns / 2, tries, bad, latency_ns)  # many tries: a jam is told sooner
         backend.queue = load.get("queue", backend.queue)
         # Only good answers count, so quick errors lift nothing; rates come from what a line covers, so late
         # bundles are no jump.
