--- a/meadowworks/host.py
+++ b/meadowworks/host.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-ALL_TABLES = 65535  # the table number that stands for every joined proxy (levels only)
-
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -19,20 +17,14 @@
 
     importance: float
     slo_ns: int
-    limit_ns: int
-    repeatable: bool
-    keyed_anywhere_ns: int  # how long any backend drops repeats of a key; 0: not at all, or only in a part
     home_only: bool
-    writes: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
     routes: tuple[Route, ...]
     zones: int
-    position: int
     controllers: int
-    proxies: int
     subscribe: bool
     ask_within_ns: int
     level_kind: str  # share, rate or silent
@@ -45,13 +37,9 @@
     head: float
     messages_most: int
     messages_over_ns: int
-    delay_ns: int
     delay_most_ns: int
-    bare_ns: int
-    grace_ns: int
     cold_share: float
     cold_ns: int
-    tip_multiple: float
     slices: int
     exclusive: bool
     lease_ns: int
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -487,7 +487,7 @@
         warm = [p for p in ready if not self.cold(now, self.backends[p])] or ready
         rest = self.set.lease_ns + self.set.in_flight_ns + self.set.delay_most_ns
         for number, lines in self.slices.items():
-            bad, retry = [p for p in lines if p not in ready], self.set.base_retry
+            bad, retry = [p for p in lines if p not in ready], min(self.set.base_retry, 1)
             waits = self.set.exclusive and bad and now < self.moving.get(number, now + 1)
             if not warm or lines and not bad or waits and number in self.moving:
                 continue
--- a/meadowworks/wirehost/settings.py
+++ b/meadowworks/wirehost/settings.py
@@ -40,29 +40,20 @@
 
     count = round(number("profiles.count"))
     home = flags("extra.home_only", count)
-    writes = flags("extra.class_writes", count)
     routes, names = [], {}
     for place in range(count):
         at = f"profiles.{place}."
         names[text(at + "name")] = place
-        repeat, group = text(at + "repeat"), options.get(at + "group", "all")
-        anywhere = repeat == "keyed" and group == "all"
         routes.append(Route(
             importance=number(at + "worth"),
             slo_ns=span(at + "on_time_us"),
-            limit_ns=span(at + "deadline_us"),
-            repeatable=repeat == "safe",
-            keyed_anywhere_ns=span(at + "window_us") if anywhere else 0,
             home_only=home[place],
-            writes=writes[place],
         ))
     zones = {name: place for place, name in enumerate(text("zones").split(","))}
     settings = Settings(
         routes=tuple(routes),
         zones=len(zones),
-        position=round(number("position")),
         controllers=round(number("balancers")),
-        proxies=round(number("extra.proxy_count")),
         subscribe=text("membership_mode") == "subscribe",
         ask_within_ns=span("safety.ask_within_us") if "safety.ask_within_us" in options else 0,
         level_kind=text("extra.level_kind"),
@@ -75,13 +66,9 @@
         head=number("extra.fixed_cost"),
         messages_most=round(number("extra.reloads_max")),
         messages_over_ns=span("extra.update_window_us"),
-        delay_ns=span("extra.push_delay_us"),
         delay_most_ns=span("extra.push_delay_max_us"),
-        bare_ns=span("extra.blackhole_us"),
-        grace_ns=span("safety.stop_sending_within_us"),
         cold_share=number("safety.cold_share"),
         cold_ns=span("safety.cold_us"),
-        tip_multiple=number("safety.tip_multiple"),
         slices=round(number("extra.slices")),
         exclusive=flag("extra.exclusive"),
         lease_ns=span("extra.keeps_writing_us"),
