--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -107,6 +107,7 @@
     jam: bool = False  # most of the zone's tries fail
     keep: float = 1.0  # the part of its calls that the zone keeps, and parts of weight elsewhere, by zone
     abroad: list[float] = field(default_factory=list)
+    full: float = 0.0  # the most weight that the zone's ready servers ever had
 
 
 class Controller:
@@ -228,6 +229,9 @@
                 view.jam = not view.jam
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
             keep = min(1.0, room[zone] / sum(room) / need[zone])
+            view.full = max(view.full, listed[zone])
+            if view.calm and not view.jam and view.keep == 1.0 and room[zone] > SPILL_AT * view.full:
+                keep = 1.0  # uneven calls alone, with none of them slow, are the zone's own
             if SPILL_AT < keep <= SPILL_AT + (SPILL_STEP if view.keep < 1 else 0):
                 keep = SPILL_AT
             keep = 1.0 if keep > SPILL_AT else keep
