--- a/meadowworks/wirehost/__main__.py
+++ b/meadowworks/wirehost/__main__.py
@@ -8,7 +8,8 @@
 
 if __name__ == "__main__":
     try:
-        serve(sys.stdin, sys.stdout)
+        with open(sys.stdin.fileno(), encoding="utf-8", errors="replace", closefd=False) as source:
+            serve(source, sys.stdout)
     except Malformed as trouble:
         print(f"wirehost: {trouble}", file=sys.stderr)
         sys.exit(2)
--- a/meadowworks/wirehost/wire.py
+++ b/meadowworks/wirehost/wire.py
@@ -116,7 +116,9 @@
             call = prepare(instances[name], kind, parts, entries)
         except Malformed:
             raise
-        except (Missing, ValueError, KeyError, IndexError) as trouble:
+        except KeyError as trouble:
+            raise Malformed(f"line {at}: {kind}: unknown name {trouble}") from trouble
+        except (Missing, ValueError, IndexError) as trouble:
             raise Malformed(f"line {at}: {kind}: {trouble}") from trouble
         if name in broken:
             continue
