Drop dead code and work out each weight once; no decision changes

The adapter still had an order that the module no longer gives, a setting that nobody read and a handler that caught nothing. A table's weights were worked out up to three times a server, the spare room once a zone, and what counts as silent twice; the part of its calls that a zone keeps took three steps, now two. A site whose weights are all 0 can no longer divide by 0 in the net abroad.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -26,7 +26,7 @@
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
 JAM = 0.08, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
-PROVEN, PROVEN_CALM = 0.4, 0.8  # a budget never falls below this part of the best throughput of the window
+PROVEN, PROVEN_CALM = 0.4, 0.8  # parts of the best throughput that a budget keeps; the latter in calm
 FLOOR = 0.1  # a level never falls below this
 PACE_NS = SECOND  # ordinary orders to one zone come at most this often
 FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
@@ -104,7 +104,7 @@
     fresh: bool = False
     calm: bool = True  # heard latency is fair
     met: Met = field(default_factory=Met)
-    jam: bool = False  # most of the zone's tries fail
+    jam: bool = False  # too many of the zone's tries fail, see JAM
     keep: float = 1.0  # the part of its calls that the zone keeps, and parts of weight elsewhere, by zone
     abroad: list[float] = field(default_factory=list)
     full: float = 0.0  # the most weight that the zone's ready servers ever had
@@ -223,23 +223,22 @@
         if not sum(room):
             return
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(count)]
+        spare = [max(0.0, r / sum(room) - n) for r, n in zip(room, need, strict=True)]
         for zone, view in enumerate(self.views):
             share = view.met.bad / max(view.met.tries, LEAST_TRIES) / (1 if self.set.ejects else CALM)
             if share > JAM[0] if not view.jam else share < JAM[1]:
                 view.jam = not view.jam
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
-            keep = min(1.0, room[zone] / sum(room) / need[zone])
             view.full = max(view.full, listed[zone])
-            if view.calm and not view.jam and view.keep == 1.0 and room[zone] > SPILL_AT * view.full:
-                keep = 1.0  # uneven calls alone, with none of them slow, are the zone's own
-            if SPILL_AT < keep <= SPILL_AT + (SPILL_STEP if view.keep < 1 else 0):
-                keep = SPILL_AT
-            keep = 1.0 if keep > SPILL_AT else keep
+            # Uneven calls alone, with none of them slow, are the zone's own; a spill once begun ends later.
+            short = not view.calm or view.jam or view.keep < 1.0 or room[zone] <= SPILL_AT * view.full
+            keep = room[zone] / sum(room) / need[zone]
+            end = SPILL_AT + (SPILL_STEP if view.keep < 1.0 else 0.0)
+            keep = min(keep, SPILL_AT) if short and keep <= end else 1.0
             if abs(keep - view.keep) <= SPILL_STEP * view.keep and (keep < 1.0 or view.keep == 1.0):
                 continue
             if (keep == 1.0) != (view.keep == 1.0):
                 self.host.record(f"zone {zone} " + ("keeps calls" if keep == 1.0 else "sends calls abroad"))
-            spare = [max(0.0, r / sum(room) - n) for r, n in zip(room, need, strict=True)]
             excess = room[zone] * (1 - keep) / max(keep, RUNGS[-1]) / max(sum(spare) - spare[zone], 1e-9)
             view.keep = keep
             view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(spare, room, strict=True)]
@@ -256,19 +255,20 @@
         own = {p: b for p, b in ready.items() if b.zone == zone}
         if not own:
             own = ready
-        lines = {place: max(b.weight, 1e-3) * self.part(now, b) for place, b in own.items()}
+        weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
+        lines = {p: weights[p] for p in own}
         if view.keep < 1.0 and len(own) < len(ready):
             for place, b in ready.items():
                 if b.zone != zone and view.abroad[b.zone] > 0:
-                    lines[place] = max(b.weight, 1e-3) * self.part(now, b) * view.abroad[b.zone]
+                    lines[place] = weights[place] * view.abroad[b.zone]
         # Guards against pushing over a cold server when the warm ones beside it go off at one stroke: what
         # they then turn away finds others abroad as well. It costs a few calls that cross zones.
         frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
-        net = {p: b.weight * self.part(now, b) for p, b in ready.items() if p not in lines}
         away = sum(w for p, w in lines.items() if p not in own)
         lack = min(NET * frail, NET_MOST * sum(lines.values())) - away
-        for place, weight in net.items() if lack > 0 else ():
-            lines[place] = lack * weight / sum(net.values())
+        net = {p: w for p, w in weights.items() if p not in lines} if lack > 0 else {}
+        total = sum(net.values())
+        lines.update((p, lack * w / total) for p, w in net.items())
         return lines
 
     def cold(self, now: int, backend: Backend) -> bool:
@@ -398,13 +398,14 @@
         last = len(RUNGS) - 1
         for place, b in self.backends.items():
             share = b.met.bad / b.met.tries - usual if b.met.tries >= LEAST_TRIES else 0.0
-            if not b.ready or now - b.moved_ns < (HASTE if b.met.bad > SILENT * b.met.tries else 1) * wait:
+            silent = b.met.bad > SILENT * b.met.tries
+            if not b.ready or now - b.moved_ns < (HASTE if silent else 1) * wait:
                 continue
             good = b.met.tries - b.met.bad
             slower = good >= LEAST_TRIES and b.met.spent / good >= slow and not 0 <= b.queue < LEAST_QUEUE
             rest = int(CLIMB_REPORTS * self.set.report_ns)
             rest *= 2 ** min(b.strikes, REST_DOUBLES) if b.rung == last else 1
-            full = b.queue >= LEAST_QUEUE and b.met.bad <= SILENT * b.met.tries
+            full = b.queue >= LEAST_QUEUE and not silent
             if share >= ILL and not full or slower:
                 if b.rung < last:
                     self.step(now, place, last if share >= DEAD else b.rung + 1)
--- a/meadowworks/wirehost/settings.py
+++ b/meadowworks/wirehost/settings.py
@@ -6,6 +6,8 @@
 
 from meadowworks.host import Route, Settings
 
+TRUE = ("true", "1")
+
 
 class Missing(Exception):
     """A setting that the module needs is absent or has no sense."""
@@ -30,10 +32,10 @@
         return round(number(key)) * 1000
 
     def flag(key: str) -> bool:
-        return text(key) in ("true", "1")
+        return text(key) in TRUE
 
     def flags(key: str, count: int) -> list[bool]:
-        marks = [part in ("true", "1") for part in text(key).split(",")]
+        marks = [part in TRUE for part in text(key).split(",")]
         if len(marks) != count:
             raise Missing(f"setting {key} has {len(marks)} values for {count} routes")
         return marks
--- a/meadowworks/wirehost/wire.py
+++ b/meadowworks/wirehost/wire.py
@@ -4,7 +4,6 @@
 
 import traceback
 from collections.abc import Callable, Iterator
-from itertools import chain
 from typing import TextIO
 
 from meadowworks.host import Entry
@@ -32,7 +31,6 @@
         settings, self.zones, self.routes = read(options)
         self.backends: dict[str, int] = {}
         self.addresses: list[str] = []
-        self.metrics = options.get("feedback.names", "").split(",")
         self.module = Controller(self, settings, seed, now_ns)
 
     def index(self, address: str) -> int:
@@ -62,9 +60,6 @@
     def bind(self, routes: int, proxy: int, table: int) -> None:
         self.out.append(f"SUBSCRIBE_TO\t{self.name}\t{routes}\t{proxy}\t{table}")
 
-    def withdraw(self, backend: int, out: bool) -> None:
-        self.out.append(f"MASK\t{self.name}\t{self.addresses[backend]}\t{int(out)}")
-
     def admit(self, table: int, routes: int, level: float, retry: int) -> None:
         self.out.append(f"ADMIT\t{self.name}\t{table}\t{routes}\t{level:.4f}\t{retry}")
 
@@ -105,7 +100,7 @@
         try:
             entries = list_lines(parts, lines) if kind == "TOPOLOGY" else []
             if kind == "SPAWN":
-                options = dict(pair.partition("=")[::2] for pair in chain(parts[3:]))
+                options = dict(pair.partition("=")[::2] for pair in parts[3:])
                 instances[name] = Instance(name, int(parts[2]), options, out, now_ns)
                 continue
             if kind == "DOWN":
@@ -114,8 +109,6 @@
             if name not in instances:
                 raise Malformed(f"line {at}: {kind} for {name!r}, which has not started")
             call = prepare(instances[name], kind, parts, entries)
-        except Malformed:
-            raise
         except KeyError as trouble:
             raise Malformed(f"line {at}: {kind}: unknown name {trouble}") from trouble
         except (Missing, ValueError, IndexError) as trouble:
