Send an order larger than the channel in parts, and what must leave first

It also guards mass joins after a restart that leave little room. It could harm where half a change is worse than none: a table between two states for a second or two.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -149,8 +149,8 @@
         self.count += 1
         heapq.heappush(self.due, (when_ns, self.count, act))
 
-    def take(self, now: int, proxies: Sequence[Proxy], lines: int, keep: float) -> bool:
-        """Takes room for so many lines to each of these, leaving a part of the caps to dearer orders.
+    def take(self, now: int, proxies: Sequence[Proxy], lines: int, keep: float, part: bool = False) -> int:
+        """Takes room for so many lines to each of these, or for a part, and leaves some to dearer orders.
 
         Guards the short queue, where the channel may run slower than stated, and the cap on messages. What
         does not fit is found undone by the next tick."""
@@ -161,14 +161,17 @@
             while proxy.sent and proxy.sent[0] <= now - self.set.messages_over_ns:
                 proxy.sent.popleft()
             if self.set.messages_most and len(proxy.sent) + 1 > self.set.messages_most * (1 - keep):
-                return False
-        cost = lines * len(proxies) + self.set.head * len(fresh)
-        if cost and self.queue + cost > self.set.queue_cap * (1 - keep):
-            return False
-        self.queue += cost
+                return 0
+        if proxies:
+            room = self.set.queue_cap * (1 - keep) - self.queue - self.set.head * len(fresh)
+            fit = min(lines, int(room / len(proxies)))
+            if fit <= 0 or fit < lines and not part:
+                return 0
+            lines = fit
+        self.queue += lines * len(proxies) + self.set.head * len(fresh)
         for proxy in fresh:
             proxy.sent.append(now)
-        return True
+        return lines
 
     # -- the list
 
@@ -278,15 +281,14 @@
         for place, (routes, home) in enumerate(self.groups):
             yield zone * len(self.groups) + place, routes, home
 
-    def send(self, now: int, zone: int, lines: int, drains: bool = False) -> bool:
-        """Whether so many lines may go to a zone's proxies now; draining goes ahead of pace and caps."""
+    def send(self, now: int, zone: int, lines: int, drains: bool) -> int:
+        """How many lines may go to a zone's proxies now; draining goes ahead of pace and caps."""
         users = [p for p in self.proxies.values() if p.zone == zone and p.bound]
-        if users and not drains and now - self.paced[zone] < PACE_NS:
-            return False
-        if not self.take(now, users, lines, KEEP_DRAIN if drains else KEEP_USUAL):
-            return False
-        self.paced[zone] = now if users else self.paced[zone]
-        return True
+        if not lines or users and not drains and now - self.paced[zone] < PACE_NS:
+            return 0
+        fit = self.take(now, users, lines, KEEP_DRAIN if drains else KEEP_USUAL, True)
+        self.paced[zone] = now if users and fit else self.paced[zone]
+        return fit
 
     def settle(self, now: int) -> None:
         """Brings each zone's tables to what the list asks for; a line that must go leaves at once."""
@@ -294,24 +296,30 @@
             return self.settle_slices(now)
         self.balance(now)
         for zone in range(self.set.zones):
-            todo, drains = [], False
             levels: dict[tuple[int, tuple[float, int]], int] = {}
+            todo: list[tuple[int, float, int, int, float]] = []  # rank, then the less the sooner; the line
             for table, routes, home in self.zone_tables(zone):
                 for k, (level, retry) in enumerate(self.grants):
                     grant = level, 0 if self.views[zone].jam else retry  # further tries feed a jam
                     if routes >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
                         levels[table, grant] = levels.get((table, grant), 0) | 1 << k
                 have, want = self.tables[table], self.wanted(now, zone, home)
-                todo += [(table, p, w) for p, w in want.items() if abs(have.get(p, 0.0) - w) > 1e-6]
-                todo += [(table, p, 0.0) for p in have if p not in want]
-                drains = drains or any(not self.backends[p].ready for p in have)
-            # Lines and levels go as one message, so neither uses up the room of the other.
-            if not todo and not levels or not self.send(now, zone, len(todo) + len(levels), drains):
-                continue
-            for (table, grant), mask in levels.items():
-                self.host.admit(table, mask, *grant)
-                self.levels[table].update((k, grant) for k in range(len(self.grants)) if mask >> k & 1)
-            for table, place, weight in todo:
+                moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > 1e-6}
+                first = 2 if any(p in want for p in have) else 0
+                todo += [(first, -abs(have.get(p, 0.0) - w), table, p, w) for p, w in moved.items()]
+                todo += [(2 if self.backends[p].ready else 1, -w, table, p, 0.0)
+                         for p, w in have.items() if p not in want]
+            # Guards against an order larger than the channel, as a large fleet's is: it goes in parts, a
+            # first line before the last leaves, then what must leave, then levels, then the greatest changes.
+            todo.sort()
+            ahead = sum(rank < 2 for rank, *_ in todo)
+            fit = self.send(now, zone, len(todo) + len(levels), any(rank == 1 for rank, *_ in todo))
+            if fit >= ahead + len(levels):
+                fit -= len(levels)
+                for (table, grant), mask in levels.items():
+                    self.host.admit(table, mask, *grant)
+                    self.levels[table].update((k, grant) for k in range(len(self.grants)) if mask >> k & 1)
+            for _, _, table, place, weight in todo[:fit]:
                 self.host.set_line(table, place, weight)
                 if weight:
                     self.tables[table][place] = weight
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -245,3 +245,15 @@
             fleet.report({}, latency=3 * SECOND if late and k else SECOND // 10)
             fleet.run(1)
         assert (set(fleet.tables[0]) == {0, 2, 4}) != late
+
+
+def test_an_order_larger_than_the_channel_goes_in_parts_and_what_must_leave_goes_first() -> None:
+    fleet = started(per_zone=30, proxies=80)
+    fleet.run(8)
+    assert all(len(fleet.pick(p, 0)) == 30 for p in fleet.bound)
+    fleet.module.listed(fleet.now, "changes", [entry(b, 0, "draining") for b in range(0, 50, 2)])
+    assert not fleet.pick(0, 0) & set(range(0, 50, 2))
+    for _ in range(20):
+        fleet.run(0.5)
+        assert fleet.backlog(0.5) <= SETTINGS.queue_cap
+    assert len(fleet.pick(0, 0)) == 35  # the excess goes abroad, to as many as there are
