Hold what the list calls gone while it answers probes, where only draining binds

Told apart from a crash by asking the backend itself; without probes by what the proxies meet there (the last rung of the ladder). Also answers ghosts that vanish and an emptied list; a true crash costs the way of a probe. It could harm where a process answers probes and serves nothing: then the ladder takes its weight.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -45,6 +45,7 @@
 ASK_PART = 0.05  # first wait after a list call failed, of the time within which to ask; doubled each time
 ASK_MOST = 0.4  # longest such wait: two failures in a row still fit into that time
 
+HOLD_REPORTS = 4.0  # one that the list calls gone, though it answers, is looked at so often
 HALF_REPORTS = 2.0  # what was heard of a backend counts half after so many reports
 LEAST_TRIES = 6.0  # heard before a verdict
 ILL, DEAD = 0.15, 0.6  # dropped share above the fleet's median that costs a rung, or all of them
@@ -77,7 +78,8 @@
     zone: int
     weight: float
     since_ns: int
-    ready: bool = True
+    ready: bool = False
+    lost: bool = False  # held although the list lacks it, see hold()
     rung: int = 0
     strikes: int = 0
     moved_ns: int = 0  # when its rung last changed
@@ -183,19 +185,44 @@
         self.failures = 0
         if how != "changes":
             named = {entry.backend for entry in entries}
-            for place, backend in self.backends.items():
-                backend.ready = backend.ready and place in named
+            for place in self.backends:
+                if place not in named:
+                    self.hold(place)
         for entry in entries:
             known = self.backends.get(entry.backend)
             if known is None:
                 known = self.backends[entry.backend] = Backend(entry.zone, entry.weight, entry.since_ns)
             elif entry.since_ns > known.since_ns:  # a start, under whatever name: what was known is void
                 known.since_ns, known.strikes, known.rung, known.met = entry.since_ns, 0, 0, Met()
-            known.zone, known.ready = entry.zone, entry.state == "ready"
-            if self.set.fixed_weights:
-                known.weight = entry.weight
+            known.zone, known.weight = entry.zone, entry.weight if self.set.fixed_weights else known.weight
+            if entry.state == "gone":
+                self.hold(entry.backend)
+            else:
+                known.ready, known.lost = entry.state == "ready", False
         self.settle(now)
 
+    def hold(self, place: int, again: bool = False) -> None:
+        """Lets go of a backend that the list calls gone, at once where that binds, else once it is silent.
+
+        Guards against a list that is wrong. Probes ask the backend itself, where they are allowed; else what
+        the proxies meet there tells, by the ladder. One that is truly gone costs the way of a probe."""
+        b = self.backends[place]
+        if not b.ready or b.lost != again:
+            return
+        b.lost = self.set.only_draining_binds and (self.set.probes or b.rung < len(RUNGS) - 1)
+        b.ready = b.lost
+        if b.lost:
+            wait = int(HOLD_REPORTS * self.set.report_ns)
+            self.later(self.ticked_ns + wait, lambda: self.hold(place, True))
+            if self.set.probes:
+                self.host.probe(place)
+
+    def probed(self, now: int, place: int, answered: bool) -> None:
+        b = self.backends[place]
+        if b.lost and not answered:
+            b.ready = b.lost = False
+            self.settle(now)
+
     # -- tables
 
     def part(self, now: int, backend: Backend) -> float:
--- a/meadowworks/wirehost/settings.py
+++ b/meadowworks/wirehost/settings.py
@@ -58,6 +58,8 @@
         controllers=round(number("balancers")),
         subscribe=text("membership_mode") == "subscribe",
         ask_within_ns=span("safety.ask_within_us") if "safety.ask_within_us" in options else 0,
+        only_draining_binds=options.get("safety.only_draining_binds") in TRUE,
+        probes=options.get("limits.probes") in TRUE,
         level_kind=text("extra.level_kind"),
         base_retry=round(number("extra.base_mode")),
         ejects=round(float(options.get("extra.ejects", "0"))),
--- a/meadowworks/wirehost/wire.py
+++ b/meadowworks/wirehost/wire.py
@@ -51,6 +51,9 @@
     def track(self, on: bool) -> None:
         self.out.append(f"TRACK\t{self.name}\t{int(on)}")
 
+    def probe(self, backend: int) -> None:
+        self.out.append(f"SAMPLE\t{self.name}\t{self.addresses[backend]}")
+
     def wake_in(self, wait_ns: int) -> None:
         self.out.append(f"WAKE_ME\t{self.name}\t{wait_ns // 1000}\ttick")
 
@@ -156,6 +159,9 @@
         case "LEFT":
             proxy = int(v[2])
             return lambda now: module.left(now, proxy)
+        case "PROBED":
+            backend, answered = host.index(v[2]), v[3] in ("done", "busy", "err")
+            return lambda now: module.probed(now, backend, answered)
         case "STATS":
             zone, backend, load = host.zones[v[2]], host.index(v[3]), host.load(v[8])
             tries, bad, latency, covers = int(v[4]), int(v[5]), int(v[6]) * 1000, int(v[7]) * 1000
@@ -170,5 +176,5 @@
         case "STANDING_LINE":
             number, backend, weight = int(v[2]), host.index(v[3]), float(v[4])
             return lambda now: module.slice_line(now, number, backend, weight)
-        case _:  # probes, peers, marks and heat by slice: legal, and nothing that the module reads
+        case _:  # peers, marks and heat by slice: legal, and nothing that the module reads
             return lambda now: None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,7 +8,8 @@
 SECOND = 1_000_000_000
 ROUTES = (Route(2.0, SECOND, False), Route(1.0, SECOND, False), Route(2.0, SECOND, False))
 SETTINGS = Settings(
-    routes=ROUTES, zones=2, controllers=1, subscribe=True, ask_within_ns=10 * SECOND, level_kind="share",
+    routes=ROUTES, zones=2, controllers=1, subscribe=True, ask_within_ns=10 * SECOND,
+    only_draining_binds=False, probes=False, level_kind="share",
     base_retry=1, ejects=5, report_ns=SECOND // 2, fixed_weights=True, channel_rate=800.0, queue_cap=1600.0,
     head=10.0, messages_most=20, messages_over_ns=10 * SECOND, delay_most_ns=SECOND // 3, cold_share=0.3,
     cold_ns=15 * SECOND, slices=0, exclusive=False, lease_ns=2 * SECOND, in_flight_ns=2 * SECOND,
@@ -26,6 +27,7 @@
         self.held: dict[int, set[int]] = {}  # what a proxy that is not bound may still send to
         self.records: list[str] = []
         self.tracks: list[int] = []
+        self.probes: list[int] = []
         self.heads: dict[int, list[int]] = {}
         self.lines: list[tuple[int, float]] = []
         self.module = Controller(self, settings, 7, now)
@@ -45,6 +47,9 @@
     def track(self, on: bool) -> None:
         self.tracks.append(self.now)
 
+    def probe(self, backend: int) -> None:
+        self.probes.append(backend)
+
     def wake_in(self, wait_ns: int) -> None:
         assert wait_ns > 0
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -257,3 +257,23 @@
         fleet.run(0.5)
         assert fleet.backlog(0.5) <= SETTINGS.queue_cap
     assert len(fleet.pick(0, 0)) == 35  # the excess goes abroad, to as many as there are
+
+
+def test_what_a_list_calls_gone_stays_while_it_answers_where_only_draining_binds() -> None:
+    for probes in (True, False):
+        fleet = started(replace(SETTINGS, only_draining_binds=True, probes=probes))
+        whole = [entry(4, 0, "draining"), *(entry(b, b % 2) for b in (1, 3, 5))]
+        fleet.module.listed(fleet.now, "whole", whole)
+        fleet.module.listed(fleet.now, "changes", [entry(9, 0, "gone")])
+        assert fleet.pick(0, 0) >= {0, 2} and not fleet.pick(0, 0) & {4, 9}
+        assert set(fleet.probes) == ({0, 2} if probes else set())
+        if probes:
+            fleet.module.probed(fleet.now, 0, True)
+            fleet.module.probed(fleet.now, 2, False)
+        for _ in range(8):
+            fleet.report({2: 1.0})
+            fleet.run(0.5)
+        assert 0 in fleet.pick(0, 0) and 2 not in fleet.pick(0, 0)
+        fleet.module.listed(fleet.now, "changes", [entry(2, 0), entry(0, 0)])
+        fleet.run(2)
+        assert {0, 2} <= fleet.pick(0, 0)
