--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -241,8 +241,7 @@
         Exception to the zone tables, between them and the table of all: guards against a zone that loses some
         of its servers, has only cold or suspect ones, or meets far more calls than the others. What the other
         instances' proxies ask is taken to go by listed weight. It costs calls that cross zones."""
-        count = self.set.zones
-        own = 1 / self.set.controllers if now - self.born_ns >= FRESH_NS else 0.0  # before, few have joined
+        count, own = self.set.zones, 1 / self.set.controllers * (now - self.born_ns >= FRESH_NS)
         room, listed, asked = [0.0] * count, [1e-9] * count, [1e-9] * count
         for b in self.backends.values():
             if b.ready:
@@ -282,9 +281,7 @@
             # Guards against pushing over a cold server where proxies avoid the warm ones after a run of
             # drops, as a fresh or often stalled controller must fear: it would get all they have.
             ready = warm
-        own = {p: b for p, b in ready.items() if b.zone == zone}
-        if not own:
-            own = ready
+        own = {p: b for p, b in ready.items() if b.zone == zone} or ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
         lines = {p: weights[p] for p in own}
         if view.keep < 1.0 and len(own) < len(ready):
@@ -308,15 +305,6 @@
         for place, (routes, home) in enumerate(self.groups):
             yield zone * len(self.groups) + place, routes, home
 
-    def send(self, now: int, zone: int, lines: int, drains: bool) -> int:
-        """How many lines may go to a zone's proxies now; draining goes ahead of pace and caps."""
-        users = [p for p in self.proxies.values() if p.zone == zone and p.bound]
-        if not lines or users and not drains and now - self.paced[zone] < PACE_NS:
-            return 0
-        fit = self.take(now, users, lines, KEEP_DRAIN if drains else KEEP_USUAL, True)
-        self.paced[zone] = now if users and fit else self.paced[zone]
-        return fit
-
     def settle(self, now: int) -> None:
         """Brings each zone's tables to what the list asks for; a line that must go leaves at once."""
         if self.set.slices:
@@ -340,7 +328,11 @@
             # first line before the last leaves, then what must leave, then levels, then the greatest changes.
             todo.sort()
             ahead = sum(rank < 2 for rank, *_ in todo)
-            fit = self.send(now, zone, len(todo) + len(levels), any(rank == 1 for rank, *_ in todo))
+            users = [p for p in self.proxies.values() if p.zone == zone and p.bound]
+            if not todo and not levels or users and not ahead and now - self.paced[zone] < PACE_NS:
+                continue
+            fit = self.take(now, users, len(todo) + len(levels), KEEP_DRAIN if ahead else KEEP_USUAL, True)
+            self.paced[zone] = now if users and fit else self.paced[zone]
             if fit >= ahead + len(levels):
                 fit -= len(levels)
                 for (table, grant), mask in levels.items():
