Leave ways that drop or dawdle, and let torn views hold each zone to its own

A zone kept sending calls along a link that lost 10 to 30% of them and answered after the SLO time, though the servers behind it were idle; and the median of a jammed and a calm zone's views fed the one and throttled the other. Now a way worse than home by 15 points of drops or half the SLO time, while the far servers report no queue, gets no calls until the evidence fades; while some zones are jammed and others calm, these rise to their own views and those fall half way. The ways also answer a lossy zone border; they harm where a far zone is slow for another cause and reports no queue.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -1,8 +1,8 @@
 """All decisions of a meadowworks controller.
 
-An adapter builds one `Controller` for each instance, hands it a host (`meadowworks/host.py` holds that
-interface and all types) and calls one method for each thing that happens, with the clock in nanoseconds.
-The controller acts by calling the host; whatever it orders while one call is handled leaves together.
+An adapter builds one `Controller` for each instance, hands it a host (`meadowworks/host.py` holds that and
+all types) and calls one method for each thing that happens, with the clock in nanoseconds. The controller
+acts by calling the host; whatever it orders while one call is handled leaves together.
 """
 
 from __future__ import annotations
@@ -18,34 +18,26 @@
 
 SECOND = 1_000_000_000
 # The design's own figures (docs/design.md): tolerance and clamp of a view, its gain and its cap.
-TOLERANCE = 2.0
+TOLERANCE, LEAST_CUT, GAIN, CAP = 2.0, 0.5, 0.1, 2.0
 SLO_PART = 0.5  # latency under this part of the SLO time is none to throttle for, whatever the baseline
-LEAST_CUT = 0.5
-GAIN = 0.1
-CAP = 2.0
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
 JAM = 0.08, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
 PROVEN, PROVEN_CALM = 0.4, 0.8  # parts of the best throughput that a budget keeps; the latter in calm
-FLOOR = 0.1  # a level never falls below this
-PACE_NS = SECOND  # ordinary orders to one zone come at most this often
-FRESH_NS = 5 * SECOND  # a fresh controller sends no level for so long
+FLOOR, LEVEL_STEP = 0.1, 0.05  # a level never falls below the one; a move under the other is not worth it
+PACE_NS, FRESH_NS = SECOND, 5 * SECOND  # between ordinary orders to a zone; before a controller's first level
 OPEN_RATE = 1e6  # calls a second at a proxy that stand for an open level where levels are rates
-LEVEL_STEP = 0.05  # a smaller move of a level is not worth its lines
 SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
 NET, NET_MOST = 2.0, 0.25  # weight abroad beside cold servers, as a part of theirs, and of a table's
-# A new server enters at a tenth and rises in these steps of its cold time (the design starts from 30 s), each
-# time to this part of the least that it can then do, and at last to all.
+# A new server enters at a tenth and rises in these steps of its cold time, to a part of the least it can do.
 ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
 
-TICKS_A_REPORT = 2  # half a report period is the longest that news waits to be acted on
-STALL_TICKS = 3  # a turn that comes so many ticks after the last one was held up
+TICKS_A_REPORT, STALL_TICKS = 2, 3  # half a report is the longest wait for news; a turn this late was held up
 CHANNEL_TRUST = 0.5  # the channel may run at half its stated rate without the queue passing its cap
 KEEP_DRAIN, KEEP_JOIN, KEEP_USUAL = 0.1, 0.3, 0.5  # parts of the caps that orders of a kind leave free
-ASK_PART = 0.05  # first wait after a list call failed, of the time within which to ask; doubled each time
-ASK_MOST = 0.4  # longest such wait: two failures in a row still fit into that time
+ASK_PART, ASK_MOST = 0.05, 0.4  # waits after a list call failed, of the time to ask within: first, longest
 
-HOLD_REPORTS = 4.0  # one that the list calls gone, though it answers, is looked at so often
+RECHECK = 4.0  # one that the list calls gone, though it answers, is looked at after so many reports
 HALF_REPORTS = 2.0  # what was heard of a backend counts half after so many reports
 LEAST_TRIES = 6.0  # heard before a verdict
 ILL, DEAD = 0.15, 0.6  # dropped share above the fleet's median that costs a rung, or all of them
@@ -55,7 +47,6 @@
 VERDICT_REPORTS = 5.0  # a verdict waits so many reports (and an order's way) to hear what the last did
 SILENT, HASTE = 0.95, 0.2  # dropped share of one that answers nothing, and its part of that wait
 CLIMB_REPORTS = 8.0  # a rung is won back after so many
-REST_DOUBLES = 3  # each failed trial doubles the time on the last rung, so often
 
 
 @dataclass(slots=True)
@@ -81,7 +72,6 @@
     ready: bool = False
     lost: bool = False  # held although the list lacks it, see hold()
     rung: int = 0
-    strikes: int = 0
     moved_ns: int = 0  # when its rung last changed
     met: Met = field(default_factory=Met)
     queue: float = -1.0  # calls waiting there, as it reports; under 0: it does not say
@@ -104,8 +94,10 @@
     lows: deque[tuple[int, float]] = field(default_factory=deque)  # (when, latency), see lowest()
     lines: dict[int, tuple[float, float, int]] = field(default_factory=dict)  # good a second, latency, until
     fresh: bool = False
+    grants: list[tuple[float, int]] = field(default_factory=list)  # level and further tries by route
     calm: bool = True  # heard latency is fair
     met: Met = field(default_factory=Met)
+    ways: dict[int, Met] = field(default_factory=dict)  # tries by the backend's zone
     jam: bool = False  # too many of the zone's tries fail, see JAM
     keep: float = 1.0  # the part of its calls that the zone keeps, and parts of weight elsewhere, by zone
     abroad: list[float] = field(default_factory=list)
@@ -115,7 +107,7 @@
 class Controller:
     def __init__(self, host: Host, settings: Settings, seed: int, now_ns: int) -> None:
         self.host, self.set, self.seed = host, settings, seed
-        self.count = 0
+        self.count = self.failures = 0
         self.born_ns = self.blind_ns = self.ticked_ns = now_ns
         self.backends: dict[int, Backend] = {}
         self.proxies: dict[int, Proxy] = {}
@@ -128,14 +120,12 @@
         self.views = [View() for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, -throughput of a weight), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
-        self.grants: list[tuple[float, int]] = []  # level and further tries by route, once there are any
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.queue, self.queue_ns = 0.0, now_ns
-        self.failures = 0
         self.slices: dict[int, dict[int, float]] = {}
         self.moving: dict[int, int] = {}  # slices whose owner is gone, and when the next may follow
-        self.half_ns = HALF_REPORTS * settings.report_ns
+        self.half_ns, self.climb_ns = HALF_REPORTS * settings.report_ns, CLIMB_REPORTS * settings.report_ns
         self.tick_ns = settings.report_ns // TICKS_A_REPORT
         host.wake_in(self.tick_ns)
         if settings.subscribe:
@@ -152,10 +142,8 @@
         heapq.heappush(self.due, (when_ns, self.count, act))
 
     def take(self, now: int, proxies: Sequence[Proxy], lines: int, keep: float, part: bool = False) -> int:
-        """Takes room for so many lines to each of these, or for a part, and leaves some to dearer orders.
-
-        Guards the short queue, where the channel may run slower than stated, and the cap on messages. What
-        does not fit is found undone by the next tick."""
+        """Takes room for so many lines to each of these, or a part, and leaves some to dearer orders: guards
+        the short queue and the cap on messages. What does not fit is found undone by the next tick."""
         gone = (now - self.queue_ns) / SECOND * self.set.channel_rate * CHANNEL_TRUST
         self.queue, self.queue_ns = max(0.0, self.queue - gone), now
         fresh = [p for p in proxies if not p.sent or p.sent[-1] != now]  # others have a message in this reply
@@ -193,7 +181,7 @@
             if known is None:
                 known = self.backends[entry.backend] = Backend(entry.zone, entry.weight, entry.since_ns)
             elif entry.since_ns > known.since_ns:  # a start, under whatever name: what was known is void
-                known.since_ns, known.strikes, known.rung, known.met = entry.since_ns, 0, 0, Met()
+                known.since_ns, known.rung, known.met = entry.since_ns, 0, Met()
             known.zone, known.weight = entry.zone, entry.weight if self.set.fixed_weights else known.weight
             if entry.state == "gone":
                 self.hold(entry.backend)
@@ -204,16 +192,15 @@
     def hold(self, place: int, again: bool = False) -> None:
         """Lets go of a backend that the list calls gone, at once where that binds, else once it is silent.
 
-        Guards against a list that is wrong. Probes ask the backend itself, where they are allowed; else what
-        the proxies meet there tells, by the ladder. One that is truly gone costs the way of a probe."""
+        Guards against a wrong list: a probe asks the backend itself, or else the ladder tells. One that is
+        truly gone costs the way of a probe."""
         b = self.backends[place]
         if not b.ready or b.lost != again:
             return
         b.lost = self.set.only_draining_binds and (self.set.probes or b.rung < len(RUNGS) - 1)
         b.ready = b.lost
         if b.lost:
-            wait = int(HOLD_REPORTS * self.set.report_ns)
-            self.later(self.ticked_ns + wait, lambda: self.hold(place, True))
+            self.later(self.ticked_ns + int(RECHECK * self.set.report_ns), lambda: self.hold(place, True))
             if self.set.probes:
                 self.host.probe(place)
 
@@ -235,6 +222,14 @@
         least = self.set.cold_share + (1 - self.set.cold_share) * step
         return rung * (1.0 if step == RAMP[-1] else RAMP_PART * least if step else ENTRY)
 
+    def tell_jams(self) -> None:
+        """A zone is jammed while too many of its tries fail; guards see settle, wanted and estimate."""
+        for zone, view in enumerate(self.views):
+            share = view.met.bad / max(view.met.tries, LEAST_TRIES) / (1 if self.set.ejects else CALM)
+            if share > JAM[0] if not view.jam else share < JAM[1]:
+                view.jam = not view.jam
+                self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
+
     def balance(self, now: int) -> None:
         """Finds the zones whose servers have less room than their calls' fair share, and where there is more.
 
@@ -254,10 +249,6 @@
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(count)]
         spare = [max(0.0, r / sum(room) - n) for r, n in zip(room, need, strict=True)]
         for zone, view in enumerate(self.views):
-            share = view.met.bad / max(view.met.tries, LEAST_TRIES) / (1 if self.set.ejects else CALM)
-            if share > JAM[0] if not view.jam else share < JAM[1]:
-                view.jam = not view.jam
-                self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
             view.full = max(view.full, listed[zone])
             # Uneven calls alone, with none of them slow, are the zone's own; a spill once begun ends later.
             short = not view.calm or view.jam or view.keep < 1.0 or room[zone] <= SPILL_AT * view.full
@@ -266,37 +257,43 @@
             keep = min(keep, SPILL_AT) if short and keep <= end else 1.0
             if abs(keep - view.keep) <= SPILL_STEP * view.keep and (keep < 1.0 or view.keep == 1.0):
                 continue
-            if (keep == 1.0) != (view.keep == 1.0):
-                self.host.record(f"zone {zone} " + ("keeps calls" if keep == 1.0 else "sends calls abroad"))
+            self.host.record(f"zone {zone} " + ("keeps calls" if keep == 1.0 else "sends calls abroad"))
             excess = room[zone] * (1 - keep) / max(keep, RUNGS[-1]) / max(sum(spare) - spare[zone], 1e-9)
             view.keep = keep
             view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(spare, room, strict=True)]
 
+    def poor(self, zone: int, far: int) -> bool:
+        """Whether the way from a zone to another is worse than within, while the servers there are not full.
+
+        Guards against a slow or lossy link. The evidence fades, and the way is tried again."""
+        home, away = self.views[zone].ways.get(zone, Met()), self.views[zone].ways.get(far, Met())
+        waits = [max(0.0, b.queue) for b in self.backends.values() if b.ready and b.zone == far]
+        if min(home.tries, away.tries) < LEAST_TRIES or sum(waits) >= LEAST_QUEUE * len(waits):
+            return False
+        late = away.spent / max(away.tries - away.bad, 1) - home.spent / max(home.tries - home.bad, 1)
+        return away.bad / away.tries - home.bad / home.tries > ILL or late > SLO_PART * self.slo_ns
+
     def wanted(self, now: int, zone: int, home: bool) -> dict[int, float]:
         """The lines of a zone's table: its own servers, and a part of others' weight where it must."""
         view = self.views[zone]
-        ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
+        far = {z for z in range(self.set.zones) if z != zone and self.poor(zone, z)}
+        all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
+        ready = {p: b for p, b in all_ready.items() if b.zone not in far} or all_ready
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        if warm and (view.jam or now - self.blind_ns < FRESH_NS):
-            # Guards against pushing over a cold server where proxies avoid the warm ones after a run of
-            # drops, as a fresh or often stalled controller must fear: it would get all they have.
-            ready = warm
+        # Guards against pushing over a cold server where proxies avoid the warm ones after a run of drops.
+        ready = warm if warm and (view.jam or now - self.blind_ns < FRESH_NS) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
         lines = {p: weights[p] for p in own}
         if view.keep < 1.0 and len(own) < len(ready):
-            for place, b in ready.items():
-                if b.zone != zone and view.abroad[b.zone] > 0:
-                    lines[place] = weights[place] * view.abroad[b.zone]
-        # Guards against pushing over a cold server when the warm ones beside it go off at one stroke: what
-        # they then turn away finds others abroad as well. It costs a few calls that cross zones.
+            lines.update((p, weights[p] * view.abroad[b.zone]) for p, b in ready.items()
+                         if b.zone != zone and view.abroad[b.zone] > 0)
+        # Guards against pushing over a cold server when the warm ones beside it go off at one stroke.
         frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
         away = sum(w for p, w in lines.items() if p not in own)
         lack = min(NET * frail, NET_MOST * sum(lines.values())) - away
         net = {p: w for p, w in weights.items() if p not in lines} if lack > 0 else {}
-        total = sum(net.values())
-        lines.update((p, lack * w / total) for p, w in net.items())
-        return lines
+        return lines | {p: lack * w / sum(net.values()) for p, w in net.items()}
 
     def cold(self, now: int, backend: Backend) -> bool:
         return now - backend.since_ns < self.set.cold_ns
@@ -309,12 +306,13 @@
         """Brings each zone's tables to what the list asks for; a line that must go leaves at once."""
         if self.set.slices:
             return self.settle_slices(now)
+        self.tell_jams()
         self.balance(now)
-        for zone in range(self.set.zones):
+        for zone in sorted(range(self.set.zones), key=self.paced.__getitem__):  # none starves another
             levels: dict[tuple[int, tuple[float, int]], int] = {}
             todo: list[tuple[int, float, int, int, float]] = []  # rank, then the less the sooner; the line
             for table, routes, home in self.zone_tables(zone):
-                for k, (level, retry) in enumerate(self.grants):
+                for k, (level, retry) in enumerate(self.views[zone].grants):
                     grant = level, 0 if self.views[zone].jam else retry  # further tries feed a jam
                     if routes >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
                         levels[table, grant] = levels.get((table, grant), 0) | 1 << k
@@ -337,7 +335,7 @@
                 fit -= len(levels)
                 for (table, grant), mask in levels.items():
                     self.host.admit(table, mask, *grant)
-                    self.levels[table].update((k, grant) for k in range(len(self.grants)) if mask >> k & 1)
+                    self.levels[table].update((k, grant) for k in range(mask.bit_length()) if mask >> k & 1)
             for _, _, table, place, weight in todo[:fit]:
                 self.host.set_line(table, place, weight)
                 if weight:
@@ -375,10 +373,10 @@
             return
         view = self.views[zone]
         backend.met.add(now, self.half_ns, tries, bad, latency_ns)
+        view.ways.setdefault(backend.zone, Met()).add(now, self.climb_ns, tries, bad, latency_ns)
         view.met.add(now, self.half_ns / 2, tries, bad, latency_ns)  # many tries: a jam is told sooner
         backend.queue = load.get("queue", backend.queue)
-        # Only good answers count, so quick errors lift nothing; rates come from what a line covers, so late
-        # bundles are no jump.
+        # Only good answers count, so quick errors lift nothing; late bundles are no jump.
         until = now + 2 * max(covers_ns, self.set.report_ns)
         view.lines[place] = (tries - bad) * SECOND / covers_ns, latency_ns, until
         view.fresh = True
@@ -412,9 +410,9 @@
     def judge(self, now: int) -> None:
         """Moves each backend down the rungs while it drops or dawdles far more than the fleet, and up again.
 
-        One ladder answers a slow machine, a full one, quick errors, hanging and silence. If all are ill, none
-        is. One that reports a queue is full rather than ill, and judged by its latency unless it answers
-        nothing. It can harm where the rest has no room for what a suspect gives up."""
+        One ladder answers a slow machine, quick errors, hanging and silence. If all are ill, none is. One
+        that reports a queue is full, not ill: judged by latency, a rung at a time, unless it answers nothing.
+        It can harm where the rest has no room for what a suspect gives up."""
         for b in self.backends.values():  # what is no longer heard fades too, or a silent suspect stays one
             b.met.add(now, self.half_ns, 0, 0, 0)
         heard = [b.met for b in self.backends.values() if b.ready and b.met.tries >= LEAST_TRIES]
@@ -430,19 +428,16 @@
                 continue
             good = b.met.tries - b.met.bad
             slower = good >= LEAST_TRIES and b.met.spent / good >= slow and not 0 <= b.queue < LEAST_QUEUE
-            rest = int(CLIMB_REPORTS * self.set.report_ns)
-            rest *= 2 ** min(b.strikes, REST_DOUBLES) if b.rung == last else 1
             full = b.queue >= LEAST_QUEUE and not silent
             if share >= ILL and not full or slower:
                 if b.rung < last:
-                    self.step(now, place, last if share >= DEAD else b.rung + 1)
-            elif b.rung and now - b.moved_ns >= rest:
+                    self.step(now, place, last if share >= DEAD and not full else b.rung + 1)
+            elif b.rung and now - b.moved_ns >= self.climb_ns:
                 self.step(now, place, b.rung - 1)
 
     def step(self, now: int, place: int, rung: int) -> None:
         b = self.backends[place]
         b.rung, b.moved_ns, b.met = rung, now, Met()
-        b.strikes = b.strikes + (rung == len(RUNGS) - 1) if rung else 0
         self.host.record(f"suspect {place} on rung {rung}")
 
     # -- levels
@@ -456,8 +451,8 @@
             seen.popleft()
         return seen[0][1]
 
-    def estimate(self, now: int) -> float:
-        """The median of the zones' views of what all backends can answer, in calls a second."""
+    def estimate(self, now: int) -> list[float]:
+        """What all backends can answer, in calls a second, for each zone: the median of the zones' views."""
         for view in self.views:
             view.lines = {p: line for p, line in view.lines.items() if line[2] > now}
         total = sum(rate for view in self.views for rate, _, _ in view.lines.values())
@@ -471,34 +466,40 @@
                 view.calm = cut >= 1
                 old = view.calls if view.calls >= 0 else CAP * total
                 view.calls = min(CAP * total, old * min(1.0, max(LEAST_CUT, cut)) + GAIN * total)
-        known = [view.calls for view in self.views if view.calls >= 0]
-        # What was answered lately can be answered again: guards against a level that feeds on itself, as
-        # throttled calls leave little throughput to grow from.
+        # What was answered lately can be answered again: guards against a level that feeds on itself.
         weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
         proven = -self.lowest(now, self.best, -total / weight) * weight
-        part = PROVEN_CALM if all(view.calm for view in self.views) else PROVEN
-        return max(median(known), part * proven) if known else -1.0
+        # Guards against one zone's jam that starves the others, and their ease that feeds it: while some are
+        # jammed and others calm, these rise to their own views and those fall half way to theirs.
+        heard = [v for v in self.views if v.calls >= 0]
+        torn = any(v.jam for v in heard) and any(v.calm and not v.jam for v in heard)
+        fold, budgets = median(v.calls for v in heard) if heard else -1.0, []
+        for view in self.views:
+            part = PROVEN_CALM if (view.calm if torn else all(v.calm for v in self.views)) else PROVEN
+            mine = (fold + view.calls) / 2 if torn and view.jam else max(fold, torn * view.calls)
+            budgets.append(max(mine, part * proven) if heard else -1.0)
+        return budgets
 
     def spend(self, now: int) -> None:
         """One budget over all routes, the more important first; levels go out on change."""
         routes = self.set.routes
         asked = [sum(p.asked.get(k, 0.0) for p in self.proxies.values()) + 1e-9 for k in range(len(routes))]
         self.slo_ns = sum(a * r.slo_ns for a, r in zip(asked, routes, strict=True)) / sum(asked)
-        left = self.estimate(now)
-        if now - self.born_ns < FRESH_NS or left < 0:
+        budgets = self.estimate(now)
+        if now - self.born_ns < FRESH_NS or min(budgets) < 0:
             return
-        grants = [(1.0, 1)] * len(routes)
-        for importance in sorted({r.importance for r in routes}, reverse=True):
-            same = [k for k, r in enumerate(routes) if r.importance == importance]
-            calls = sum(asked[k] for k in same)
-            level = max(FLOOR, min(1.0, left / calls))
-            left = max(0.0, left - level * calls)
-            for k in same:
-                grants[k] = round(level / LEVEL_STEP) * LEVEL_STEP, 1
-                if self.set.level_kind == "rate":  # calls a second at each proxy
-                    busiest = max((p.asked.get(k, 0.0) for p in self.proxies.values()), default=0.0)
-                    grants[k] = OPEN_RATE if level >= 1 else float(f"{level * busiest:.1g}") + 1, 1
-        self.grants = grants
+        for view, left in zip(self.views, budgets, strict=True):
+            view.grants = [(1.0, 1)] * len(routes)
+            for importance in sorted({r.importance for r in routes}, reverse=True):
+                same = [k for k, r in enumerate(routes) if r.importance == importance]
+                calls = sum(asked[k] for k in same)
+                level = max(FLOOR, min(1.0, left / calls))
+                left = max(0.0, left - level * calls)
+                for k in same:
+                    view.grants[k] = round(level / LEVEL_STEP) * LEVEL_STEP, 1
+                    if self.set.level_kind == "rate":  # calls a second at each proxy
+                        busiest = max((p.asked.get(k, 0.0) for p in self.proxies.values()), default=0.0)
+                        view.grants[k] = OPEN_RATE if level >= 1 else float(f"{level * busiest:.1g}") + 1, 1
 
     # -- sites with slices: no tuning, no rule broken
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -277,3 +277,39 @@
         fleet.module.listed(fleet.now, "changes", [entry(2, 0), entry(0, 0)])
         fleet.run(2)
         assert {0, 2} <= fleet.pick(0, 0)
+
+
+def test_a_full_server_loses_one_rung_at_a_time_however_much_it_drops() -> None:
+    fleet = started()
+    for _ in range(2):
+        for b in range(6):
+            bad, late = (14, 3 * SECOND) if b == 2 else (0, SECOND // 10)
+            fleet.module.heard(fleet.now, b % 2, b, 20, bad, late, SECOND // 2, {"queue": 9.0 * (b == 2)})
+        fleet.run(1)
+    assert fleet.tables[0][2] == 2.0 * RUNGS[1]
+
+
+def test_no_calls_go_along_a_poor_way_while_the_far_servers_are_idle() -> None:
+    for queue in (0.0, 9.0):
+        fleet = started()
+        fleet.module.listed(fleet.now, "changes", [entry(b, b % 2, "gone") for b in (2, 4)])
+        fleet.run(2)
+        for _ in range(6):
+            for b in (1, 3, 5, 0):
+                bad, load = 5 * (b > 0), {"queue": queue}
+                fleet.module.heard(fleet.now, 0, b, 20, bad, SECOND // 10, SECOND // 2, load)
+            fleet.run(1)
+        assert (fleet.pick(0, 0) == {0}) == (queue == 0.0)
+
+
+def test_one_zones_jam_neither_throttles_a_calm_zone_nor_is_fed_by_it() -> None:
+    fleet = started()
+    for k in range(10):
+        for p in fleet.bound:
+            for route in range(3):
+                fleet.module.asked(fleet.now, p, route, 100, 0, SECOND)
+        for b in range(6):
+            bad, late = (16, 2 * SECOND) if b % 2 and k else (0, SECOND // 10)
+            fleet.module.heard(fleet.now, b % 2, b, 100, 5 * bad, late, SECOND // 2, {})
+        fleet.run(1)
+    assert fleet.levels[1, 0][0] < fleet.levels.get((0, 0), (1.0, 1))[0]
