Let drains go within their room and the rest within the usual room; spill by queue

Zones met by a shift of calls waited for slow answers before they sent any abroad; a call waiting at each server now is enough. A line that moves by less than a tenth of its weight stays, which spares the channel. Tried, no gain: spills by asked calls alone, probes of a sixth of the servers each turn, jams by queue, lighter cold servers in uneven zones.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -24,10 +24,12 @@
 JAM = 0.08, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
 PROVEN, PROVEN_CALM = 0.4, 0.8  # parts of the best throughput that a budget keeps; the latter in calm
-FLOOR, LEVEL_STEP = 0.1, 0.05  # a level never falls below the one; a move under the other is not worth it
+FLOOR = 0.1  # a level never falls below this
+LEVEL_STEP, LINE_STEP = 0.05, 0.1  # smaller moves of a level, or of a line in its weight, are not worth it
 PACE_NS, FRESH_NS = SECOND, 5 * SECOND  # between ordinary orders to a zone; before a controller's first level
 OPEN_RATE = 1e6  # calls a second at a proxy that stand for an open level where levels are rates
-SPILL_AT, SPILL_STEP = 0.85, 0.1  # a zone with less than this part of its fair room sends the excess abroad
+# A zone with less than this part of its fair room sends the excess abroad, if so many calls wait at a server.
+SPILL_AT, SPILL_STEP, CROWD = 0.85, 0.1, 1.0
 NET, NET_MOST = 2.0, 0.25  # weight abroad beside cold servers, as a part of theirs, and of a table's
 # A new server enters at a tenth and rises in these steps of its cold time, to a part of the least it can do.
 ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
@@ -141,27 +143,28 @@
         self.count += 1
         heapq.heappush(self.due, (when_ns, self.count, act))
 
-    def take(self, now: int, proxies: Sequence[Proxy], lines: int, keep: float, part: bool = False) -> int:
-        """Takes room for so many lines to each of these, or a part, and leaves some to dearer orders: guards
-        the short queue and the cap on messages. What does not fit is found undone by the next tick."""
+    def take(self, now: int, users: Sequence[Proxy], lines: int, keep: float, rest: int = -1) -> int:
+        """Takes room for so many lines to each user, and leaves some to dearer orders: guards the queue
+        and the cap on messages. With a rest, a part of them will do, and of the rest what usual room has."""
         gone = (now - self.queue_ns) / SECOND * self.set.channel_rate * CHANNEL_TRUST
         self.queue, self.queue_ns = max(0.0, self.queue - gone), now
-        fresh = [p for p in proxies if not p.sent or p.sent[-1] != now]  # others have a message in this reply
+        fresh = [p for p in users if not p.sent or p.sent[-1] != now]  # others have a message in this reply
         for proxy in fresh:
             while proxy.sent and proxy.sent[0] <= now - self.set.messages_over_ns:
                 proxy.sent.popleft()
             if self.set.messages_most and len(proxy.sent) + 1 > self.set.messages_most * (1 - keep):
                 return 0
-        if proxies:
-            room = self.set.queue_cap * (1 - keep) - self.queue - self.set.head * len(fresh)
-            fit = min(lines, int(room / len(proxies)))
-            if fit <= 0 or fit < lines and not part:
+        part, rest = rest >= 0, max(0, rest)
+        if users:
+            used, cap = self.queue + self.set.head * len(fresh), self.set.queue_cap
+            most, usual = (int((cap * (1 - k) - used) / len(users)) for k in (keep, KEEP_USUAL))
+            rest = min(rest, max(0, usual - lines)) if lines <= most else most - lines
+            if lines + rest <= 0 or lines > most and not part:
                 return 0
-            lines = fit
-        self.queue += lines * len(proxies) + self.set.head * len(fresh)
+        self.queue += (lines + rest) * len(users) + self.set.head * len(fresh)
         for proxy in fresh:
             proxy.sent.append(now)
-        return lines
+        return lines + rest
 
     # -- the list
 
@@ -177,10 +180,8 @@
                 if place not in named:
                     self.hold(place)
         for entry in entries:
-            known = self.backends.get(entry.backend)
-            if known is None:
-                known = self.backends[entry.backend] = Backend(entry.zone, entry.weight, entry.since_ns)
-            elif entry.since_ns > known.since_ns:  # a start, under whatever name: what was known is void
+            known = self.backends.setdefault(entry.backend, Backend(entry.zone, entry.weight, entry.since_ns))
+            if entry.since_ns > known.since_ns:  # a start, under whatever name: what was known is void
                 known.since_ns, known.rung, known.met = entry.since_ns, 0, Met()
             known.zone, known.weight = entry.zone, entry.weight if self.set.fixed_weights else known.weight
             if entry.state == "gone":
@@ -197,8 +198,7 @@
         b = self.backends[place]
         if not b.ready or b.lost != again:
             return
-        b.lost = self.set.only_draining_binds and (self.set.probes or b.rung < len(RUNGS) - 1)
-        b.ready = b.lost
+        b.ready = b.lost = self.set.only_draining_binds and (self.set.probes or b.rung < len(RUNGS) - 1)
         if b.lost:
             self.later(self.ticked_ns + int(RECHECK * self.set.report_ns), lambda: self.hold(place, True))
             if self.set.probes:
@@ -223,7 +223,6 @@
         return rung * (1.0 if step == RAMP[-1] else RAMP_PART * least if step else ENTRY)
 
     def tell_jams(self) -> None:
-        """A zone is jammed while too many of its tries fail; guards see settle, wanted and estimate."""
         for zone, view in enumerate(self.views):
             share = view.met.bad / max(view.met.tries, LEAST_TRIES) / (1 if self.set.ejects else CALM)
             if share > JAM[0] if not view.jam else share < JAM[1]:
@@ -250,8 +249,9 @@
         spare = [max(0.0, r / sum(room) - n) for r, n in zip(room, need, strict=True)]
         for zone, view in enumerate(self.views):
             view.full = max(view.full, listed[zone])
-            # Uneven calls alone, with none of them slow, are the zone's own; a spill once begun ends later.
-            short = not view.calm or view.jam or view.keep < 1.0 or room[zone] <= SPILL_AT * view.full
+            # Uneven calls alone, with none waiting, are the zone's own; a spill once begun ends later.
+            strained = self.crowd(zone) >= CROWD or not view.calm or view.jam
+            short = strained or view.keep < 1.0 or room[zone] <= SPILL_AT * view.full
             keep = room[zone] / sum(room) / need[zone]
             end = SPILL_AT + (SPILL_STEP if view.keep < 1.0 else 0.0)
             keep = min(keep, SPILL_AT) if short and keep <= end else 1.0
@@ -262,13 +262,16 @@
             view.keep = keep
             view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(spare, room, strict=True)]
 
+    def crowd(self, zone: int) -> float:  # calls waiting at a server of a zone, in the mean
+        waits = [max(0.0, b.queue) for b in self.backends.values() if b.ready and b.zone == zone]
+        return sum(waits) / max(1, len(waits))
+
     def poor(self, zone: int, far: int) -> bool:
         """Whether the way from a zone to another is worse than within, while the servers there are not full.
 
         Guards against a slow or lossy link. The evidence fades, and the way is tried again."""
         home, away = self.views[zone].ways.get(zone, Met()), self.views[zone].ways.get(far, Met())
-        waits = [max(0.0, b.queue) for b in self.backends.values() if b.ready and b.zone == far]
-        if min(home.tries, away.tries) < LEAST_TRIES or sum(waits) >= LEAST_QUEUE * len(waits):
+        if min(home.tries, away.tries) < LEAST_TRIES or self.crowd(far) >= LEAST_QUEUE:
             return False
         late = away.spent / max(away.tries - away.bad, 1) - home.spent / max(home.tries - home.bad, 1)
         return away.bad / away.tries - home.bad / home.tries > ILL or late > SLO_PART * self.slo_ns
@@ -317,19 +320,20 @@
                     if routes >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
                         levels[table, grant] = levels.get((table, grant), 0) | 1 << k
                 have, want = self.tables[table], self.wanted(now, zone, home)
-                moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > 1e-6}
+                moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > LINE_STEP * w}
                 first = 2 if any(p in want for p in have) else 0
                 todo += [(first, -abs(have.get(p, 0.0) - w), table, p, w) for p, w in moved.items()]
                 todo += [(2 if self.backends[p].ready else 1, -w, table, p, 0.0)
                          for p, w in have.items() if p not in want]
-            # Guards against an order larger than the channel, as a large fleet's is: it goes in parts, a
-            # first line before the last leaves, then what must leave, then levels, then the greatest changes.
+            # Guards against an order larger than the channel: it goes in parts, a first line before the last
+            # leaves, then what must leave, then levels, then the greatest changes; the next tick finds more.
             todo.sort()
             ahead = sum(rank < 2 for rank, *_ in todo)
             users = [p for p in self.proxies.values() if p.zone == zone and p.bound]
             if not todo and not levels or users and not ahead and now - self.paced[zone] < PACE_NS:
                 continue
-            fit = self.take(now, users, len(todo) + len(levels), KEEP_DRAIN if ahead else KEEP_USUAL, True)
+            keep, rest = KEEP_DRAIN if ahead else KEEP_USUAL, len(todo) - ahead + len(levels)
+            fit = self.take(now, users, ahead, keep, rest)
             self.paced[zone] = now if users and fit else self.paced[zone]
             if fit >= ahead + len(levels):
                 fit -= len(levels)
@@ -338,9 +342,8 @@
                     self.levels[table].update((k, grant) for k in range(mask.bit_length()) if mask >> k & 1)
             for _, _, table, place, weight in todo[:fit]:
                 self.host.set_line(table, place, weight)
-                if weight:
-                    self.tables[table][place] = weight
-                else:
+                self.tables[table][place] = weight
+                if not weight:
                     del self.tables[table][place]
 
     # -- proxies
@@ -396,8 +399,7 @@
             self.host.record("stood still")
         self.ticked_ns = now
         while self.due and self.due[0][0] <= now:
-            _, _, act = heapq.heappop(self.due)
-            act()
+            heapq.heappop(self.due)[2]()
         if not self.set.slices:
             self.judge(now)
             self.spend(now)
@@ -518,7 +520,6 @@
         users = list(self.proxies.values())
         ready = [p for p, b in self.backends.items() if b.ready]
         warm = [p for p in ready if not self.cold(now, self.backends[p])] or ready
-        rest = self.set.lease_ns + self.set.in_flight_ns + self.set.delay_most_ns
         for number, lines in self.slices.items():
             bad, retry = [p for p in lines if p not in ready], min(self.set.base_retry, 1)
             waits = self.set.exclusive and bad and now < self.moving.get(number, now + 1)
@@ -527,7 +528,7 @@
             if not self.take(now, users, len(bad) + 2, KEEP_DRAIN):
                 return
             if waits:  # first nothing goes to the former owner, later all to the next
-                self.moving[number] = now + rest
+                self.moving[number] = now + self.set.lease_ns + self.set.in_flight_ns + self.set.delay_most_ns
                 self.host.admit(number, 0, 0.0, retry)
                 continue
             if len(bad) == len(lines):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -313,3 +313,12 @@
             fleet.module.heard(fleet.now, b % 2, b, 100, 5 * bad, late, SECOND // 2, {})
         fleet.run(1)
     assert fleet.levels[1, 0][0] < fleet.levels.get((0, 0), (1.0, 1))[0]
+
+
+def test_drains_take_no_ordinary_lines_with_them_past_the_usual_room_so_joins_find_some() -> None:
+    fleet = started(per_zone=20, proxies=100)
+    fleet.run(8)
+    late = [entry(b, 0, weight=3.0) for b in range(8, 40, 2)]
+    fleet.module.listed(fleet.now, "changes", [entry(0, 0, "draining"), *late])
+    fleet.join(99, 0, {0})
+    assert fleet.pick(99, 0) and 0 not in fleet.pick(99, 0)
