Take others' calls to go as ours where dealt by chance; jams admit sturdy cold servers

Need by zone took the other controllers' calls to go by listed weight, although there proxies are dealt by chance and meet the same shift: spills were half of what was due. And a jam shut out all cold servers until warm, so a fleet that doubled met its calls with the old half, which kept the jam. Now a cold server stays out of a jammed zone's table only until it withstands 2.3 times its share at the least, by the settings. The rule also serves mass deploys; it harms where a server warms unevenly.

--- a/meadowworks/host.py
+++ b/meadowworks/host.py
@@ -25,6 +25,7 @@
     routes: tuple[Route, ...]
     zones: int
     controllers: int
+    by_zone: bool  # proxies join a controller of their own zone; else they are dealt by chance
     subscribe: bool
     ask_within_ns: int
     only_draining_binds: bool  # the list may be wrong about what is gone
@@ -42,6 +43,7 @@
     delay_most_ns: int
     cold_share: float
     cold_ns: int
+    tip_multiple: float  # a cold backend falls over at so many times what it can then do
     slices: int
     exclusive: bool
     lease_ns: int
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -23,9 +23,9 @@
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
 JAM = 0.08, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
+STAND = 2.3  # a cold server that can take so many times its usual share at the least is not shut out in a jam
 PROVEN, PROVEN_CALM = 0.4, 0.8  # parts of the best throughput that a budget keeps; the latter in calm
-FLOOR = 0.1  # a level never falls below this
-LEVEL_STEP, LINE_STEP = 0.05, 0.1  # smaller moves of a level, or of a line in its weight, are not worth it
+FLOOR, LEVEL_STEP, LINE_STEP = 0.1, 0.05, 0.1  # the least level; the least moves of a level and of a weight
 PACE_NS, FRESH_NS = SECOND, 5 * SECOND  # between ordinary orders to a zone; before a controller's first level
 OPEN_RATE = 1e6  # calls a second at a proxy that stand for an open level where levels are rates
 # A zone with less than this part of its fair room sends the excess abroad, if so many calls wait at a server.
@@ -129,6 +129,8 @@
         self.moving: dict[int, int] = {}  # slices whose owner is gone, and when the next may follow
         self.half_ns, self.climb_ns = HALF_REPORTS * settings.report_ns, CLIMB_REPORTS * settings.report_ns
         self.tick_ns = settings.report_ns // TICKS_A_REPORT
+        frail = (STAND / settings.tip_multiple - settings.cold_share) / (1 - settings.cold_share)
+        self.frail_ns = settings.cold_ns * min(1.0, frail)  # a cold server rises evenly at the slowest
         host.wake_in(self.tick_ns)
         if settings.subscribe:
             host.track(True)
@@ -192,9 +194,7 @@
 
     def hold(self, place: int, again: bool = False) -> None:
         """Lets go of a backend that the list calls gone, at once where that binds, else once it is silent.
-
-        Guards against a wrong list: a probe asks the backend itself, or else the ladder tells. One that is
-        truly gone costs the way of a probe."""
+        Guards against a wrong list: a probe asks the backend itself, or else the ladder tells."""
         b = self.backends[place]
         if not b.ready or b.lost != again:
             return
@@ -233,10 +233,10 @@
         """Finds the zones whose servers have less room than their calls' fair share, and where there is more.
 
         Exception to the zone tables, between them and the table of all: guards against a zone that loses some
-        of its servers, has only cold or suspect ones, or meets far more calls than the others. What the other
-        instances' proxies ask is taken to go by listed weight. It costs calls that cross zones."""
-        count, own = self.set.zones, 1 / self.set.controllers * (now - self.born_ns >= FRESH_NS)
-        room, listed, asked = [0.0] * count, [1e-9] * count, [1e-9] * count
+        of its servers, has only cold or suspect ones, or meets far more calls than the others. What others'
+        proxies ask is taken to go as ours where they are dealt by chance, else by listed weight."""
+        own = (now - self.born_ns >= FRESH_NS) / (self.set.controllers if self.set.by_zone else 1)
+        room, listed, asked = ([least] * self.set.zones for least in (0.0, 1e-9, 1e-9))
         for b in self.backends.values():
             if b.ready:
                 listed[b.zone] += b.weight
@@ -245,7 +245,7 @@
             asked[proxy.zone] += sum(proxy.asked.values()) or proxy.usual
         if not sum(room):
             return
-        need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(count)]
+        need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(len(room))]
         spare = [max(0.0, r / sum(room) - n) for r, n in zip(room, need, strict=True)]
         for zone, view in enumerate(self.views):
             view.full = max(view.full, listed[zone])
@@ -282,8 +282,8 @@
         far = {z for z in range(self.set.zones) if z != zone and self.poor(zone, z)}
         all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         ready = {p: b for p, b in all_ready.items() if b.zone not in far} or all_ready
-        warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
         # Guards against pushing over a cold server where proxies avoid the warm ones after a run of drops.
+        warm = {p: b for p, b in ready.items() if now - b.since_ns >= self.frail_ns}
         ready = warm if warm and (view.jam or now - self.blind_ns < FRESH_NS) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
@@ -293,9 +293,8 @@
                          if b.zone != zone and view.abroad[b.zone] > 0)
         # Guards against pushing over a cold server when the warm ones beside it go off at one stroke.
         frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
-        away = sum(w for p, w in lines.items() if p not in own)
-        lack = min(NET * frail, NET_MOST * sum(lines.values())) - away
-        net = {p: w for p, w in weights.items() if p not in lines} if lack > 0 else {}
+        lack = min(NET * frail, NET_MOST * sum(lines.values())) - sum(lines[p] for p in lines if p not in own)
+        net = {p: w for p, w in weights.items() if p not in lines and lack > 0}
         return lines | {p: lack * w / sum(net.values()) for p, w in net.items()}
 
     def cold(self, now: int, backend: Backend) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -322,3 +322,26 @@
     fleet.module.listed(fleet.now, "changes", [entry(0, 0, "draining"), *late])
     fleet.join(99, 0, {0})
     assert fleet.pick(99, 0) and 0 not in fleet.pick(99, 0)
+
+
+def test_a_jam_shuts_out_a_cold_server_only_until_it_withstands_a_crowd() -> None:
+    for multiple in (2.5, 4.0):
+        fleet = started(replace(SETTINGS, tip_multiple=multiple))
+        for k in range(20):
+            fleet.report({b: 0.5 for b in range(6)})
+            fleet.run(0.5)
+            if k == 2:
+                fleet.module.listed(fleet.now, "changes", [entry(6, 0, since=fleet.now)])
+        assert (6 in fleet.tables[0]) == (multiple == 4.0)
+
+
+def test_what_others_proxies_ask_goes_as_ours_where_they_are_dealt_by_chance() -> None:
+    for by_zone in (True, False):
+        fleet = started(replace(SETTINGS, controllers=4, by_zone=by_zone))
+        for _ in range(4):
+            for p in fleet.bound:
+                fleet.module.asked(fleet.now, p, 0, 10 if p % 2 else 20, 0, SECOND)
+            for b in range(6):
+                fleet.module.heard(fleet.now, b % 2, b, 20, 0, SECOND // 10, SECOND // 2, {"queue": 1.5})
+            fleet.run(1)
+        assert (set(fleet.tables[0]) == {0, 2, 4}) == by_zone
