--- a/meadowworks/host.py
+++ b/meadowworks/host.py
@@ -43,7 +43,6 @@
     delay_most_ns: int
     cold_share: float
     cold_ns: int
-    tip_multiple: float  # a cold backend falls over at so many times what it can then do
     slices: int
     exclusive: bool
     lease_ns: int
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -23,7 +23,6 @@
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
 JAM = 0.08, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
 CALM = 3.0  # times as many where proxies avoid nobody
-STAND = 2.3  # a cold server that can take so many times its usual share at the least is not shut out in a jam
 PROVEN, PROVEN_CALM = 0.4, 0.8  # parts of the best throughput that a budget keeps; the latter in calm
 FLOOR, LEVEL_STEP, LINE_STEP = 0.1, 0.05, 0.1  # the least level; the least moves of a level and of a weight
 PACE_NS, FRESH_NS = SECOND, 5 * SECOND  # between ordinary orders to a zone; before a controller's first level
@@ -129,8 +128,6 @@
         self.moving: dict[int, int] = {}  # slices whose owner is gone, and when the next may follow
         self.half_ns, self.climb_ns = HALF_REPORTS * settings.report_ns, CLIMB_REPORTS * settings.report_ns
         self.tick_ns = settings.report_ns // TICKS_A_REPORT
-        frail = (STAND / settings.tip_multiple - settings.cold_share) / (1 - settings.cold_share)
-        self.frail_ns = settings.cold_ns * min(1.0, frail)  # a cold server rises evenly at the slowest
         host.wake_in(self.tick_ns)
         if settings.subscribe:
             host.track(True)
@@ -157,11 +154,12 @@
             if self.set.messages_most and len(proxy.sent) + 1 > self.set.messages_most * (1 - keep):
                 return 0
         part, rest = rest >= 0, max(0, rest)
+        least = min(lines or rest, max(1, int(self.set.head)))  # fewer are not worth their heads
         if users:
             used, cap = self.queue + self.set.head * len(fresh), self.set.queue_cap
             most, usual = (int((cap * (1 - k) - used) / len(users)) for k in (keep, KEEP_USUAL))
             rest = min(rest, max(0, usual - lines)) if lines <= most else most - lines
-            if lines + rest <= 0 or lines > most and not part:
+            if lines + rest < least or lines > most and not part:
                 return 0
         self.queue += (lines + rest) * len(users) + self.set.head * len(fresh)
         for proxy in fresh:
@@ -283,7 +281,7 @@
         all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         ready = {p: b for p, b in all_ready.items() if b.zone not in far} or all_ready
         # Guards against pushing over a cold server where proxies avoid the warm ones after a run of drops.
-        warm = {p: b for p, b in ready.items() if now - b.since_ns >= self.frail_ns}
+        warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
         ready = warm if warm and (view.jam or now - self.blind_ns < FRESH_NS) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
@@ -432,12 +430,11 @@
             full = b.queue >= LEAST_QUEUE and not silent
             if share >= ILL and not full or slower:
                 if b.rung < last:
-                    self.step(now, place, last if share >= DEAD and not full else b.rung + 1)
+                    self.step(now, place, b, last if share >= DEAD and not full else b.rung + 1)
             elif b.rung and now - b.moved_ns >= self.climb_ns:
-                self.step(now, place, b.rung - 1)
+                self.step(now, place, b, b.rung - 1)
 
-    def step(self, now: int, place: int, rung: int) -> None:
-        b = self.backends[place]
+    def step(self, now: int, place: int, b: Backend, rung: int) -> None:
         b.rung, b.moved_ns, b.met = rung, now, Met()
         self.host.record(f"suspect {place} on rung {rung}")
 
--- a/meadowworks/wirehost/settings.py
+++ b/meadowworks/wirehost/settings.py
@@ -74,7 +74,6 @@
         delay_most_ns=span("extra.push_delay_max_us"),
         cold_share=number("safety.cold_share"),
         cold_ns=span("safety.cold_us"),
-        tip_multiple=number("safety.tip_multiple"),
         slices=round(number("extra.slices")),
         exclusive=flag("extra.exclusive"),
         lease_ns=span("extra.keeps_writing_us"),
