Trust the channel with a third of its rate for orders that are not urgent

It also holds against a channel slowed for other causes; it could harm where large changes are in a hurry and the channel is sound.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -34,7 +34,8 @@
 ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
 
 TICKS_A_REPORT, STALL_TICKS = 2, 3  # half a report is the longest wait for news; a turn this late was held up
-CHANNEL_TRUST = 0.5  # the channel may run at half its stated rate without the queue passing its cap
+# Parts of its rate that the channel is trusted with: by urgent orders, for a while; by the rest, for long.
+CHANNEL_TRUST = 0.5, 0.33
 KEEP_DRAIN, KEEP_JOIN, KEEP_USUAL = 0.1, 0.3, 0.5  # parts of the caps that orders of a kind leave free
 ASK_PART, ASK_MOST = 0.05, 0.4  # waits after a list call failed, of the time to ask within: first, longest
 
@@ -123,7 +124,7 @@
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
         self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, Callable[[], None]]] = []
-        self.queue, self.queue_ns = 0.0, now_ns
+        self.queue, self.queue_ns = [0.0, 0.0], now_ns
         self.slices: dict[int, dict[int, float]] = {}
         self.moving: dict[int, int] = {}  # slices whose owner is gone, and when the next may follow
         self.half_ns, self.climb_ns = HALF_REPORTS * settings.report_ns, CLIMB_REPORTS * settings.report_ns
@@ -145,8 +146,8 @@
     def take(self, now: int, users: Sequence[Proxy], lines: int, keep: float, rest: int = -1) -> int:
         """Takes room for so many lines to each user, and leaves some to dearer orders: guards the queue
         and the cap on messages. With a rest, a part of them will do, and of the rest what usual room has."""
-        gone = (now - self.queue_ns) / SECOND * self.set.channel_rate * CHANNEL_TRUST
-        self.queue, self.queue_ns = max(0.0, self.queue - gone), now
+        gone, self.queue_ns = (now - self.queue_ns) / SECOND * self.set.channel_rate, now
+        self.queue = [max(0.0, q - gone * trust) for q, trust in zip(self.queue, CHANNEL_TRUST, strict=True)]
         fresh = [p for p in users if not p.sent or p.sent[-1] != now]  # others have a message in this reply
         for proxy in fresh:
             while proxy.sent and proxy.sent[0] <= now - self.set.messages_over_ns:
@@ -156,12 +157,13 @@
         part, rest = rest >= 0, max(0, rest)
         least = min(lines or rest, max(1, int(self.set.head)))  # fewer are not worth their heads
         if users:
-            used, cap = self.queue + self.set.head * len(fresh), self.set.queue_cap
-            most, usual = (int((cap * (1 - k) - used) / len(users)) for k in (keep, KEEP_USUAL))
+            kept = zip((keep, KEEP_USUAL), self.queue, strict=True)
+            free = [self.set.queue_cap * (1 - part) - q for part, q in kept]
+            most, usual = (int((room - self.set.head * len(fresh)) / len(users)) for room in free)
             rest = min(rest, max(0, usual - lines)) if lines <= most else most - lines
             if lines + rest < least or lines > most and not part:
                 return 0
-        self.queue += (lines + rest) * len(users) + self.set.head * len(fresh)
+        self.queue = [q + (lines + rest) * len(users) + self.set.head * len(fresh) for q in self.queue]
         for proxy in fresh:
             proxy.sent.append(now)
         return lines + rest
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -337,3 +337,12 @@
                 fleet.module.heard(fleet.now, b % 2, b, 20, 0, SECOND // 10, SECOND // 2, {"queue": 1.5})
             fleet.run(1)
         assert (set(fleet.tables[0]) == {0, 2, 4}) == by_zone
+
+
+def test_changes_without_end_keep_the_queue_short_in_a_channel_at_a_third_of_its_rate() -> None:
+    fleet = started(per_zone=20, proxies=60)
+    fleet.run(8)
+    for k in range(80):
+        fleet.module.listed(fleet.now, "changes", [entry(b, b % 2, weight=2.0 + k % 3) for b in range(40)])
+        fleet.run(0.5)
+        assert fleet.backlog(0.33) <= SETTINGS.queue_cap
