Let cold servers leave a jammed zone's table as urgently as what drains

These lines now go with what must leave, ahead of pace and with nine tenths of the caps. It also serves controllers that stood still; it could harm where jams come and go and messages are capped.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -322,10 +322,10 @@
                 moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > LINE_STEP * w}
                 first = 2 if any(p in want for p in have) else 0
                 todo += [(first, -abs(have.get(p, 0.0) - w), table, p, w) for p, w in moved.items()]
-                todo += [(2 if self.backends[p].ready else 1, -w, table, p, 0.0)
-                         for p, w in have.items() if p not in want]
+                must = {p for p in have if not (b := self.backends[p]).ready or self.cold(now, b)}
+                todo += [(1 if p in must else 2, -w, table, p, 0.0) for p, w in have.items() if p not in want]
             # Guards against an order larger than the channel: it goes in parts, a first line before the last
-            # leaves, then what must leave, then levels, then the greatest changes; the next tick finds more.
+            # leaves, then what must leave (or is cold in a jam), levels, the greatest changes; more later.
             todo.sort()
             ahead = sum(rank < 2 for rank, *_ in todo)
             users = [p for p in self.proxies.values() if p.zone == zone and p.bound]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -346,3 +346,16 @@
         fleet.module.listed(fleet.now, "changes", [entry(b, b % 2, weight=2.0 + k % 3) for b in range(40)])
         fleet.run(0.5)
         assert fleet.backlog(0.33) <= SETTINGS.queue_cap
+
+
+def test_a_cold_server_leaves_a_jammed_table_though_the_channel_is_busy() -> None:
+    fleet = started(per_zone=20, proxies=60)
+    fleet.run(8)
+    fleet.module.listed(fleet.now, "changes", [entry(40, 0, since=fleet.now)])
+    fleet.run(2)
+    assert 40 in fleet.tables[0]
+    for k in range(3):
+        fleet.module.listed(fleet.now, "changes", [entry(b, b % 2, weight=3.0 + k) for b in range(40)])
+        fleet.report({b: 0.5 for b in range(41)})
+        fleet.run(0.5)
+    assert 40 not in fleet.tables[0]
