Pass over the result of a probe that names no known backend; probes and mass joins on the wire

Reading the adapter again: a probe's result for an address in no list would have ended the instance with a fault. It is passed over now; no decision changes. Two tests of the adapter: a list that may be wrong is checked by a probe, and a thousand proxies that join in one batch are bound as far as the channel has room.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -205,8 +205,8 @@
                 self.host.probe(place)
 
     def probed(self, now: int, place: int, answered: bool) -> None:
-        b = self.backends[place]
-        if b.lost and not answered:
+        b = self.backends.get(place)
+        if b and b.lost and not answered:
             b.ready = b.lost = False
             self.settle(now)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -38,6 +38,21 @@
     assert "SUBSCRIBE_TO\tcontroller-3\t0\t2\t0\n" in replies[2]
 
 
+def test_a_list_that_may_be_wrong_is_checked_by_a_probe() -> None:
+    wary = SPAWN.replace("limits.probes=false", "limits.probes=true\tsafety.only_draining_binds=true")
+    gone = LIST.replace("disk\t4", "diff\t5").replace("in_service", "terminated")
+    told = "PROBED\tcontroller-3\t10.0.0.{}:80\teconnrefused\t900\t-\n"
+    replies = answer(f"{wary}\n{LIST}\n", f"{gone}\n", told.format(9), told.format(1))
+    assert replies[1] == "SAMPLE\tcontroller-3\t10.0.0.1:80\n" and replies[2] == ""
+    assert replies[3].splitlines()[0] == "UPSERT\tcontroller-3\t0\t10.0.0.1:80\t0"
+
+
+def test_a_thousand_proxies_that_join_in_one_batch_are_bound_as_the_channel_has_room() -> None:
+    joins = "".join(f"CONNECTED\tcontroller-3\t{p}\teast\t6.5\t1\n" for p in range(1000))
+    replies = answer(f"{SPAWN}\n{LIST}\n", joins, "ELAPSED\tcontroller-3\ttick\n")
+    assert 0 < replies[1].count("SUBSCRIBE_TO") <= 1600 / 12
+
+
 @pytest.mark.parametrize(("batch", "said"), [
     ("NOISE\tcontroller-3\n", "unknown event 'NOISE'"),
     ("LEFT\tcontroller-3\t2\n", "has not started"),
