Sum each zone's queues once a turn and the net's weight once a table; no decision changes

Read over: the share of each line of the net abroad summed the net anew, a square of the table's size at every turn of every zone; the calls waiting at a zone's servers were counted in a pass of their own for each zone and each pair of zones, beside the pass that `balance` makes anyway; whether a line must leave was asked of all lines, not only of those that leave; the heads' cost and the last rung were each written out twice.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -21,14 +21,12 @@
 TOLERANCE, LEAST_CUT, GAIN, CAP = 2.0, 0.5, 0.1, 2.0
 SLO_PART = 0.5  # latency under this part of the SLO time is none to throttle for, whatever the baseline
 WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
-JAM = 0.08, 0.02  # dropped share of a zone's tries from which it is jammed, and under which no longer
-CALM = 3.0  # times as many where proxies avoid nobody
+JAM, CALM = (0.08, 0.02), 3.0  # dropped share that jams a zone, and ends it; times as much if none is avoided
 PROVEN, PROVEN_CALM = 0.4, 0.8  # parts of the best throughput that a budget keeps; the latter in calm
 FLOOR, LEVEL_STEP, LINE_STEP = 0.1, 0.05, 0.1  # the least level; the least moves of a level and of a weight
 PACE_NS, FRESH_NS = SECOND, 5 * SECOND  # between ordinary orders to a zone; before a controller's first level
 OPEN_RATE = 1e6  # calls a second at a proxy that stand for an open level where levels are rates
-# A zone with less than this part of its fair room sends the excess abroad, if so many calls wait at a server.
-SPILL_AT, SPILL_STEP, CROWD = 0.85, 0.1, 1.0
+SPILL_AT, SPILL_STEP, CROWD = 0.85, 0.1, 1.0  # part of its fair room, and calls waiting, to send some abroad
 NET, NET_MOST = 2.0, 0.25  # weight abroad beside cold servers, as a part of theirs, and of a table's
 # A new server enters at a tenth and rises in these steps of its cold time, to a part of the least it can do.
 ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
@@ -46,6 +44,7 @@
 LEAST_QUEUE = 2.0  # with fewer calls waiting a server is not the one that dawdles, a stalled proxy may be
 SLOW = 1.7  # times the fleet's median latency that costs a rung, if it is too near the SLO time as well
 RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1, 0.01)  # parts of its listed weight that a suspect keeps
+LAST = len(RUNGS) - 1
 VERDICT_REPORTS = 5.0  # a verdict waits so many reports (and an order's way) to hear what the last did
 SILENT, HASTE = 0.95, 0.2  # dropped share of one that answers nothing, and its part of that wait
 CLIMB_REPORTS = 8.0  # a rung is won back after so many
@@ -103,6 +102,7 @@
     jam: bool = False  # too many of the zone's tries fail, see JAM
     keep: float = 1.0  # the part of its calls that the zone keeps, and parts of weight elsewhere, by zone
     abroad: list[float] = field(default_factory=list)
+    crowd: float = 0.0  # calls waiting at a server of the zone, in the mean
     full: float = 0.0  # the most weight that the zone's ready servers ever had
 
 
@@ -156,14 +156,14 @@
                 return 0
         part, rest = rest >= 0, max(0, rest)
         least = min(lines or rest, max(1, int(self.set.head)))  # fewer are not worth their heads
+        heads = self.set.head * len(fresh)
         if users:
             kept = zip((keep, KEEP_USUAL), self.queue, strict=True)
-            free = [self.set.queue_cap * (1 - part) - q for part, q in kept]
-            most, usual = (int((room - self.set.head * len(fresh)) / len(users)) for room in free)
+            most, usual = (int((self.set.queue_cap * (1 - k) - q - heads) / len(users)) for k, q in kept)
             rest = min(rest, max(0, usual - lines)) if lines <= most else most - lines
             if lines + rest < least or lines > most and not part:
                 return 0
-        self.queue = [q + (lines + rest) * len(users) + self.set.head * len(fresh) for q in self.queue]
+        self.queue = [q + (lines + rest) * len(users) + heads for q in self.queue]
         for proxy in fresh:
             proxy.sent.append(now)
         return lines + rest
@@ -198,7 +198,7 @@
         b = self.backends[place]
         if not b.ready or b.lost != again:
             return
-        b.ready = b.lost = self.set.only_draining_binds and (self.set.probes or b.rung < len(RUNGS) - 1)
+        b.ready = b.lost = self.set.only_draining_binds and (self.set.probes or b.rung < LAST)
         if b.lost:
             self.later(self.ticked_ns + int(RECHECK * self.set.report_ns), lambda: self.hold(place, True))
             if self.set.probes:
@@ -237,10 +237,14 @@
         proxies ask is taken to go as ours where they are dealt by chance, else by listed weight."""
         own = (now - self.born_ns >= FRESH_NS) / (self.set.controllers if self.set.by_zone else 1)
         room, listed, asked = ([least] * self.set.zones for least in (0.0, 1e-9, 1e-9))
+        waits: list[list[float]] = [[] for _ in room]
         for b in self.backends.values():
             if b.ready:
                 listed[b.zone] += b.weight
                 room[b.zone] += b.weight * self.part(now, b)
+                waits[b.zone].append(max(0.0, b.queue))
+        for view, queues in zip(self.views, waits, strict=True):
+            view.crowd = sum(queues) / max(1, len(queues))
         for proxy in self.proxies.values():
             asked[proxy.zone] += sum(proxy.asked.values()) or proxy.usual
         if not sum(room):
@@ -250,7 +254,7 @@
         for zone, view in enumerate(self.views):
             view.full = max(view.full, listed[zone])
             # Uneven calls alone, with none waiting, are the zone's own; a spill once begun ends later.
-            strained = self.crowd(zone) >= CROWD or not view.calm or view.jam
+            strained = view.crowd >= CROWD or not view.calm or view.jam
             short = strained or view.keep < 1.0 or room[zone] <= SPILL_AT * view.full
             keep = room[zone] / sum(room) / need[zone]
             end = SPILL_AT + (SPILL_STEP if view.keep < 1.0 else 0.0)
@@ -262,16 +266,12 @@
             view.keep = keep
             view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(spare, room, strict=True)]
 
-    def crowd(self, zone: int) -> float:  # calls waiting at a server of a zone, in the mean
-        waits = [max(0.0, b.queue) for b in self.backends.values() if b.ready and b.zone == zone]
-        return sum(waits) / max(1, len(waits))
-
     def poor(self, zone: int, far: int) -> bool:
         """Whether the way from a zone to another is worse than within, while the servers there are not full.
 
         Guards against a slow or lossy link. The evidence fades, and the way is tried again."""
         home, away = self.views[zone].ways.get(zone, Met()), self.views[zone].ways.get(far, Met())
-        if min(home.tries, away.tries) < LEAST_TRIES or self.crowd(far) >= LEAST_QUEUE:
+        if min(home.tries, away.tries) < LEAST_TRIES or self.views[far].crowd >= LEAST_QUEUE:
             return False
         late = away.spent / max(away.tries - away.bad, 1) - home.spent / max(home.tries - home.bad, 1)
         return away.bad / away.tries - home.bad / home.tries > ILL or late > SLO_PART * self.slo_ns
@@ -295,7 +295,8 @@
         frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
         lack = min(NET * frail, NET_MOST * sum(lines.values())) - sum(lines[p] for p in lines if p not in own)
         net = {p: w for p, w in weights.items() if p not in lines and lack > 0}
-        return lines | {p: lack * w / sum(net.values()) for p, w in net.items()}
+        total = sum(net.values())
+        return lines | {p: lack * w / total for p, w in net.items()}
 
     def cold(self, now: int, backend: Backend) -> bool:
         return now - backend.since_ns < self.set.cold_ns
@@ -322,8 +323,8 @@
                 moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > LINE_STEP * w}
                 first = 2 if any(p in want for p in have) else 0
                 todo += [(first, -abs(have.get(p, 0.0) - w), table, p, w) for p, w in moved.items()]
-                must = {p for p in have if not (b := self.backends[p]).ready or self.cold(now, b)}
-                todo += [(1 if p in must else 2, -w, table, p, 0.0) for p, w in have.items() if p not in want]
+                off = [(p, w, self.backends[p]) for p, w in have.items() if p not in want]
+                todo += [(1 if not b.ready or self.cold(now, b) else 2, -w, table, p, 0.0) for p, w, b in off]
             # Guards against an order larger than the channel: it goes in parts, a first line before the last
             # leaves, then what must leave (or is cold in a jam), levels, the greatest changes; more later.
             todo.sort()
@@ -421,7 +422,6 @@
         waits = [m.spent / (m.tries - m.bad) for m in heard if m.tries - m.bad >= 1]
         slow = max(SLOW * median(waits), SLO_PART * self.slo_ns) if waits else 0.0
         wait = int(VERDICT_REPORTS * self.set.report_ns) + self.set.delay_most_ns
-        last = len(RUNGS) - 1
         for place, b in self.backends.items():
             share = b.met.bad / b.met.tries - usual if b.met.tries >= LEAST_TRIES else 0.0
             silent = b.met.bad > SILENT * b.met.tries
@@ -431,8 +431,8 @@
             slower = good >= LEAST_TRIES and b.met.spent / good >= slow and not 0 <= b.queue < LEAST_QUEUE
             full = b.queue >= LEAST_QUEUE and not silent
             if share >= ILL and not full or slower:
-                if b.rung < last:
-                    self.step(now, place, b, last if share >= DEAD and not full else b.rung + 1)
+                if b.rung < LAST:
+                    self.step(now, place, b, LAST if share >= DEAD and not full else b.rung + 1)
             elif b.rung and now - b.moved_ns >= self.climb_ns:
                 self.step(now, place, b, b.rung - 1)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -100,6 +100,12 @@
             self.now += step
             self.module.tick(self.now)
 
+    def ask(self, calls: int) -> None:
+        """A second in which so many calls of each route come to each bound proxy."""
+        for p in self.bound:
+            for route in range(len(self.settings.routes)):
+                self.module.asked(self.now, p, route, calls, 0, SECOND)
+
     def report(self, bad: dict[int, float], latency: int = SECOND // 10, tries: int = 20) -> None:
         """A period in which each backend of each zone's table met so many tries of the zone's proxies."""
         for table, lines in list(self.tables.items()):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -171,9 +171,7 @@
 def test_levels_reach_a_zone_whose_table_changes_every_second() -> None:
     fleet = started()
     for k in range(12):
-        for p in fleet.bound:
-            for route in range(3):
-                fleet.module.asked(fleet.now, p, route, 100, 0, SECOND)
+        fleet.ask(100)
         fleet.report({}, latency=(4 if k else 1) * SECOND)
         fleet.module.listed(fleet.now, "changes", [entry(0, 0, weight=2.0 + k % 2)])
         fleet.run(1)
@@ -206,9 +204,7 @@
 def test_levels_are_rates_where_the_site_says_so() -> None:
     fleet = started(replace(SETTINGS, level_kind="rate"))
     for k in range(8):
-        for p in fleet.bound:
-            for route in range(3):
-                fleet.module.asked(fleet.now, p, route, 100, 0, SECOND)
+        fleet.ask(100)
         fleet.report({}, latency=(4 if k else 1) * SECOND)
         fleet.run(1)
     assert 1.0 < fleet.levels[0, 1][0] < 100.0
@@ -308,9 +304,7 @@
 def test_one_zones_jam_neither_throttles_a_calm_zone_nor_is_fed_by_it() -> None:
     fleet = started()
     for k in range(10):
-        for p in fleet.bound:
-            for route in range(3):
-                fleet.module.asked(fleet.now, p, route, 100, 0, SECOND)
+        fleet.ask(100)
         for b in range(6):
             bad, late = (16, 2 * SECOND) if b % 2 and k else (0, SECOND // 10)
             fleet.module.heard(fleet.now, b % 2, b, 100, 5 * bad, late, SECOND // 2, {})
