--- /dev/null
+++ b/meadowworks/__main__.py
@@ -0,0 +1,59 @@
+"""The real controller: one program that serves until it is told to end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+
+from loguru import logger
+
+from meadowworks.node.config import Config, Missing, load
+from meadowworks.node.controller import Node
+from meadowworks.node.discovery import Discovery, Track
+from meadowworks.node.listener import Door
+from meadowworks.node.mailbox import Mailbox
+
+REPORTS_MOST = 16384  # waiting for the module: more than a minute of all that a report rate brings
+LIST_MOST = 1  # nothing in the list's mailbox is a report
+
+
+async def serve(config: Config) -> None:
+    """Starts every actor, and ends when told to or when one of them fails."""
+    module: Mailbox = Mailbox(REPORTS_MOST)  # type: ignore[type-arg]
+    lists: Mailbox[Track] = Mailbox(LIST_MOST)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    node = Node(config, module, lists)
+    discovery = Discovery(config.discovery, config.known.index, config.settings.ask_within_ns, lists, module)
+    server = await Door(module, config.sockets).open(config.host, config.port)
+    logger.info("{}: serving on {}:{}", config.name, config.host, config.port)
+    actors = [asyncio.create_task(actor) for actor in (node.run(), discovery.run(), stop.wait())]
+    done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
+    server.close()
+    node.summary()
+    for actor in done:
+        actor.result()  # a failed actor ends the program with its fault
+    logger.info("{}: told to end", config.name)
+
+
+def main() -> int:
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
+    try:
+        config = load(os.environ)
+    except Missing as trouble:
+        print(f"meadowworks: {trouble}", file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(serve(config))
+    except OSError as trouble:
+        print(f"meadowworks: {config.host}:{config.port}: {trouble}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/meadowworks/node/config.py
@@ -0,0 +1,77 @@
+"""What the platform tells a controller at its start: `NODE_CONFIG`, and the variables beside it."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from meadowworks.host import Settings
+from meadowworks.node.messages import Listing, listing
+from meadowworks.settings import TRUE, Missing, flatten, read
+
+SOCKETS = 1024  # where no limit is told: what a process may hold on a common system
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    host: str
+    port: int
+    discovery: str
+    seed: int
+    sockets: int
+    known: Listing
+    settings: Settings
+    zones: dict[str, int]
+    routes: dict[str, int]
+    batch_ns: int  # batches for the module come at most this often
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Raises Missing with one plain sentence that names what is absent or makes no sense."""
+    given: dict[str, Any] = {}
+    if "NODE_CONFIG" in environ:
+        try:
+            with open(environ["NODE_CONFIG"], encoding="utf-8") as source:
+                given = json.load(source)
+        except (OSError, ValueError) as trouble:
+            raise Missing(f"NODE_CONFIG cannot be read: {trouble}") from trouble
+        if not isinstance(given, dict):
+            raise Missing("NODE_CONFIG holds no JSON object")
+
+    def text(key: str) -> str:
+        value = given.get(key) or environ.get("NODE_" + key.upper())
+        if not isinstance(value, str) or not value:
+            raise Missing(f"{key} is missing from NODE_CONFIG, and NODE_{key.upper()} is not set")
+        return value
+
+    host, _, port = text("listen").rpartition(":")
+    if not host or not port.isdigit():
+        raise Missing(f"listen is no address with a port: {text('listen')!r}")
+    nested = given.get("settings")
+    if not isinstance(nested, dict):
+        raise Missing("settings are missing from NODE_CONFIG")
+    flat = flatten(nested)
+    settings, zones, routes = read(flat)
+    if settings.probes:
+        raise Missing("limits.probes is set, but the protocol has no form for a probe")
+    if settings.slices:
+        raise Missing("extra.slices is set, but the protocol has no form for slices")
+    try:
+        known = listing(given["known"]) if given.get("known") else Listing(0, True, ())
+    except ValueError as trouble:
+        raise Missing(f"known cannot be read: {trouble}") from trouble
+    limits = given.get("limits")
+    sockets = limits.get("sockets") if isinstance(limits, dict) else None
+    seed = str(given.get("seed", ""))
+    return Config(
+        name=text("name"), host=host, port=int(port), discovery=text("discovery"),
+        seed=zlib.crc32(seed.encode()), sockets=int(sockets) if sockets else SOCKETS, known=known,
+        settings=settings, zones=zones, routes=routes, batch_ns=round(float(flat.get("tick_us", "0"))) * 1000,
+    )
+
+
+__all__ = ["TRUE", "Config", "Missing", "load"]
--- /dev/null
+++ b/meadowworks/node/controller.py
@@ -0,0 +1,187 @@
+"""The module's actor: gathers what has come into one batch under one clock reading, calls the module for
+each thing that happened, and sends each proxy concerned one message. It is the module's host."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from meadowworks.host import Entry
+from meadowworks.node import invariants
+from meadowworks.node.config import Config
+from meadowworks.node.discovery import ListFailed, ListNews, Track
+from meadowworks.node.invariants import count, holds
+from meadowworks.node.mailbox import Mailbox
+from meadowworks.node.messages import Asked, Listing, Met
+from meadowworks.node.orders import Orders
+from meadowworks.node.proxies import End, Joined, Left, Message, News, Told
+from meadowworks.rules import Controller
+
+SECOND = 1_000_000_000
+HOPS = 4  # turns of the loop from a socket to this mailbox: what has come in joins the batch
+SUMMARY_NS = 10 * SECOND  # between the log's lines of counters
+
+
+class Clock:
+    """Unix time at the start, moved on by the monotonic clock: comparable with starts, never going back."""
+
+    def __init__(self) -> None:
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return time.monotonic_ns() + self.offset
+
+
+class Due:
+    """The module's one timer has come due."""
+
+
+class Node:
+    def __init__(
+        self, config: Config, mailbox: Mailbox[News | ListNews | Due], lists: Mailbox[Track]
+    ) -> None:
+        self.mailbox, self.lists = mailbox, lists
+        self.zones, self.routes = config.zones, config.routes
+        self.batch_ns = config.batch_ns
+        self.clock = Clock()
+        self.names: list[str] = []
+        self.places: dict[str, int] = {}
+        self.streams: dict[int, Mailbox[Told]] = {}
+        self.orders = Orders(list(config.routes), self.names)
+        self.now = self.due_ns = self.clock.now()
+        self.told_ns = self.now
+        self.loop = asyncio.get_running_loop()
+        self.module = Controller(self, config.settings, config.seed, self.now)
+        self.listed("disk", config.known)
+
+    # -- the module's host
+
+    def record(self, line: str) -> None:
+        logger.info("module: {}", line)
+
+    def track(self, on: bool) -> None:
+        self.lists.put(Track(on))
+
+    def probe(self, backend: int) -> None:
+        holds(False, "no probe is asked for where none is allowed")
+
+    def wake_in(self, wait_ns: int) -> None:
+        """From when the timer was due, so that it does not drift; after a stall, from now."""
+        self.due_ns = (self.due_ns if self.now - self.due_ns < wait_ns else self.now) + wait_ns
+        self.loop.call_at((self.due_ns - self.clock.offset) / SECOND, self.mailbox.put, Due())
+
+    def set_line(self, table: int, backend: int, weight: float) -> None:
+        self.orders.set_line(table, backend, weight)
+
+    def bind(self, routes: int, proxy: int, table: int) -> None:
+        self.orders.bind(routes, proxy, table)
+
+    def admit(self, table: int, routes: int, level: float, retry: int) -> None:
+        self.orders.admit(table, routes, level, retry)
+
+    # -- what happens
+
+    async def run(self) -> None:
+        while True:
+            await self.mailbox.wait()
+            await asyncio.sleep(max(0, self.now + self.batch_ns - self.clock.now()) / SECOND)
+            for _ in range(HOPS):
+                await asyncio.sleep(0)
+            self.batch()
+
+    def batch(self) -> None:
+        now = self.clock.now()
+        holds(now >= self.now, "the clock does not go back")
+        self.now = max(now, self.now + 1)  # the module tells batches apart by it
+        for item in self.mailbox.drain():
+            self.guarded(lambda item=item: self.happen(item), item)  # type: ignore[misc]
+        self.guarded(self.send, "orders")
+        if self.now - self.told_ns >= SUMMARY_NS:
+            self.summary()
+
+    def guarded(self, act: Callable[[], None], what: object) -> None:
+        """A fault in one event ends a debug build; a release logs it, counts it and serves on."""
+        try:
+            act()
+        except Exception:
+            if __debug__:
+                raise
+            count("faults in an event")
+            logger.exception("fault while handling {}", what)
+
+    def happen(self, item: News | ListNews | Due) -> None:
+        match item:
+            case Met(zone, backend, tries, bad, latency, covers, load):
+                if zone in self.zones and backend in self.places:
+                    self.module.heard(self.now, self.zones[zone], self.places[backend], tries, bad, latency,
+                                      covers, load)
+                else:
+                    count("reports passed over: unknown zone or backend")
+            case Asked(proxy, route, calls, dropped, covers):
+                if route in self.routes and proxy in self.streams:
+                    self.module.asked(self.now, proxy, self.routes[route], calls, dropped, covers)
+                else:
+                    count("reports passed over: unknown route or proxy")
+            case Joined(attach, stream):
+                self.joined(attach.proxy, attach.zone, attach.usual, stream)
+            case Left(proxy, stream):
+                if self.streams.get(proxy) is stream:
+                    self.left(proxy)
+            case Listing():
+                self.listed("whole" if item.whole else "changes", item)
+            case ListFailed():
+                self.module.listed(self.now, "error", [])
+            case Due():
+                self.module.tick(self.now)
+
+    def joined(self, proxy: int, zone: str, usual: float, stream: Mailbox[Told]) -> None:
+        if zone not in self.zones:
+            count("joinings refused: unknown zone")
+            return stream.put(End(f"unknown zone {zone!r}"))
+        if proxy in self.streams:  # the old stream has not been seen to end; its end is no second leaving
+            self.streams[proxy].put(End("replaced by a new one"))
+            self.left(proxy)
+        logger.info("proxy {} of {}: joined", proxy, zone)
+        self.streams[proxy] = stream
+        self.orders.join(proxy)
+        self.module.joined(self.now, proxy, self.zones[zone], usual)
+
+    def left(self, proxy: int) -> None:
+        del self.streams[proxy]
+        self.orders.leave(proxy)
+        self.module.left(self.now, proxy)
+
+    def listed(self, how: str, listing: Listing) -> None:
+        entries = []
+        for e in listing.entries:
+            if e.zone not in self.zones:
+                count("list entries passed over: unknown zone")
+                continue
+            if e.name not in self.places:
+                self.places[e.name] = len(self.names)
+                self.names.append(e.name)
+                logger.info("backend {} is {} of {}", self.places[e.name], e.name, e.zone)
+            entries.append(Entry(self.places[e.name], self.zones[e.zone], e.state, e.since_ns, e.weight))
+        if how == "changes" and not entries:
+            return  # a watch that ran out: nothing happened
+        self.module.listed(self.now, how, entries)
+
+    def send(self) -> None:
+        sent: set[int] = set()
+        for proxy, parts in self.orders.messages():
+            holds(proxy not in sent, "one message a proxy a batch")
+            sent.add(proxy)
+            self.streams[proxy].put(Message(parts))
+            count("messages sent")
+            count("lines sent", sum(part.cost() for part in parts))
+
+    def summary(self) -> None:
+        self.told_ns = self.now
+        memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+        logger.info("counters: {}; {} proxies, {} descriptors, {} MB at most", invariants.summary(),
+                    len(self.streams), len(os.listdir("/proc/self/fd")), memory)
--- /dev/null
+++ b/meadowworks/node/messages.py
@@ -0,0 +1,192 @@
+"""What is said on the sockets, as small frozen values: each line or answer is decoded once, encoded once.
+
+Whatever cannot be read raises ValueError; who reads it decides what that ends.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import isfinite
+from typing import Any
+
+MS = 1_000_000
+LINE_MOST = 1 << 20  # the protocol's limit for a message
+PARTS_MOST = 64  # and for its parts
+STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """Asks whether the controller is there."""
+
+
+@dataclass(frozen=True, slots=True)
+class Collector:
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Attach:
+    proxy: int
+    zone: str
+    usual: float
+    new: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    proxy: int
+    mark: int
+
+
+@dataclass(frozen=True, slots=True)
+class Met:
+    """What the proxies of a zone met at a backend."""
+
+    zone: str
+    backend: str
+    tries: int
+    bad: int
+    latency_ns: int
+    covers_ns: int
+    load: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Calls of a route that came to a proxy."""
+
+    proxy: int
+    route: str
+    calls: int
+    dropped: int
+    covers_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Named:
+    """A backend as discovery names it."""
+
+    name: str
+    zone: str
+    state: str
+    since_ns: int
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    index: int
+    whole: bool
+    entries: tuple[Named, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """One line of a message to a proxy; without routes it is meant for all of them."""
+
+    routes: tuple[str, ...]
+    full: bool
+    lines: tuple[tuple[str, float], ...]
+    grant: tuple[float, int] | None  # level and way of trying again
+
+    def cost(self) -> int:
+        """What the channel counts, the message's head aside."""
+        return self.full + len(self.lines) + (self.grant is not None)
+
+
+Spoken = Beat | Collector | Attach | Done | Met | Asked
+BEAT_OK = b"hb_ok\r\n"
+
+
+def figure(text: str) -> float:
+    value = float(text)
+    if not isfinite(value) or value < 0:
+        raise ValueError(f"a figure out of range: {text!r}")
+    return value
+
+
+def span(text: str) -> int:
+    return round(figure(text) * MS)
+
+
+def whole(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise ValueError(f"a number below 0: {text!r}")
+    return value
+
+
+def decode(line: bytes) -> Spoken:
+    kind, *words = line.decode("utf-8").split()
+    says = dict(word.partition("=")[::2] for word in words)
+    try:
+        match kind:
+            case "hb":
+                return Beat()
+            case "telemetry":
+                return Collector(says["site"])
+            case "attach":
+                return Attach(whole(says["id"]), says["site"], figure(says.get("rps", "0")),
+                              says.get("new") == "1")
+            case "done":
+                return Done(whole(says["id"]), whole(says["seq"]))
+            case "upstream_stats":
+                tries, bad = whole(says["count"]), whole(says["fail"])
+                if bad > tries:
+                    raise ValueError(f"{bad} of {tries} tries failed")
+                latency = span(says.get("mean", "0") if bad == tries else says["mean"])
+                pairs = (pair.partition(":") for pair in says.get("util", "").split(",") if pair)
+                return Met(says["site"], says["target"], tries, bad, latency, span(says["over"]),
+                           {name: figure(value) for name, _, value in pairs})
+            case "client_stats":
+                return Asked(whole(says["id"]), says["lane"], whole(says["count"]), whole(says["fail"]),
+                             span(says["over"]))
+    except KeyError as missing:
+        raise ValueError(f"{kind} without {missing}") from missing
+    raise ValueError(f"unknown kind {kind[:40]!r}")
+
+
+def plain(value: float) -> str:
+    """A figure without an exponent; a weight too small to show is not 0, which would take a line out."""
+    if not isfinite(value) or value < 0:
+        raise ValueError(f"a figure that cannot be ordered: {value!r}")
+    return (f"{max(value, 1e-9):.9f}".rstrip("0").rstrip(".")) if value else "0"
+
+
+def encode(parts: Sequence[Part]) -> bytes:
+    """One message. Its parts are lines; all but the last announce another."""
+    lines = []
+    for place, part in enumerate(parts, 1):
+        words = ["assign"]
+        if part.routes:
+            words.append("routes=" + "+".join(part.routes))
+        if part.full:
+            words.append("full=1")
+        if part.lines:
+            words.append("endpoints=" + ",".join(f"{name}:{plain(weight)}" for name, weight in part.lines))
+        if part.grant:
+            words.append(f"admit={plain(part.grant[0])} policy={part.grant[1]}")
+        if place < len(parts):
+            words.append("continued=1")
+        lines.append(" ".join(words) + "\r\n")
+    return "".join(lines).encode()
+
+
+def listing(answer: Any) -> Listing:
+    """Discovery's answer, already read as JSON."""
+    try:
+        entries = tuple(
+            Named(str(e["name"]), str(e["zone"]), STATES[e["status"]],
+                  round(figure(str(e.get("since_ms", 0)))) * MS, figure(str(e.get("weight", 1.0))))
+            for e in answer["endpoints"]
+        )
+        return Listing(int(answer["index"]), bool(answer["snapshot"]), entries)
+    except (KeyError, TypeError) as trouble:
+        raise ValueError(f"a list without sense: {type(trouble).__name__} {trouble}") from trouble
+
+
+def read_listing(body: bytes) -> Listing:
+    return listing(json.loads(body))
--- a/meadowworks/wirehost/settings.py
+++ b/meadowworks/settings.py
@@ -1,8 +1,13 @@
-"""The wire's settings, read into the module's own."""
+"""The one reader of settings for both adapters: names and values as text, read into the module's own.
+
+The simulator's wire brings them flat; a real controller's configuration brings them as nested JSON, which
+`flatten` writes out under the same names.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Any
 
 from meadowworks.host import Route, Settings
 
@@ -13,6 +18,34 @@
     """A setting that the module needs is absent or has no sense."""
 
 
+def flatten(nested: Mapping[str, Any]) -> dict[str, str]:
+    """Nested JSON under the wire's names: paths with dots, lists of plain values joined by commas, a list of
+    objects as its `.count` and its items by place."""
+    flat: dict[str, str] = {}
+
+    def put(at: str, value: Any) -> None:
+        if isinstance(value, dict):
+            for key, inner in value.items():
+                put(f"{at}.{key}" if at else str(key), inner)
+        elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+            flat[at + ".count"] = str(len(value))
+            for place, item in enumerate(value):
+                put(f"{at}.{place}", item)
+        elif isinstance(value, list):
+            flat[at] = ",".join(plain(item) for item in value)
+        elif value is not None:
+            flat[at] = plain(value)
+
+    put("", nested)
+    return flat
+
+
+def plain(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
 def read(options: Mapping[str, str]) -> tuple[Settings, dict[str, int], dict[str, int]]:
     """The settings, and the places of the zones and of the routes by name."""
 
--- a/meadowworks/wirehost/wire.py
+++ b/meadowworks/wirehost/wire.py
@@ -8,7 +8,7 @@
 
 from meadowworks.host import Entry
 from meadowworks.rules import Controller
-from meadowworks.wirehost.settings import Missing, read
+from meadowworks.settings import Missing, read
 
 STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 LISTS = {"diff": "changes", "snapshot": "whole", "disk": "disk", "error": "error"}
