Bound collectors and strangers, tell a silent watch sooner, name bad settings plainly

Collectors of one zone beyond four, unknown zones and proxy numbers are ended and counted; unreadable lines are logged at the first, second, fourth, eighth; whatever a list call raises is one error for the module. A watch that goes on is given up 1 s after its wait, a new one 2 s after: what discovery has to tell counts as told 2 s after it.

--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -9,11 +9,12 @@
 
 from loguru import logger
 
-from meadowworks.node.config import Config, Missing, load
+from meadowworks.node.config import Config, load
 from meadowworks.node.controller import Node
 from meadowworks.node.discovery import Discovery, Track
 from meadowworks.node.listener import Door
 from meadowworks.node.mailbox import Mailbox
+from meadowworks.settings import Missing
 
 REPORTS_MOST = 16384  # waiting for the module: more than a minute of all that a report rate brings
 LIST_MOST = 1  # nothing in the list's mailbox is a report
@@ -27,8 +28,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     node = Node(config, module, lists)
-    discovery = Discovery(config.discovery, config.known.index, config.settings.ask_within_ns, lists, module)
-    server = await Door(module, config.sockets).open(config.host, config.port)
+    index = config.known.index if config.known else None
+    discovery = Discovery(config.discovery, index, config.settings.ask_within_ns, lists, module)
+    server = await Door(module, config.zones, config.sockets).open(config.host, config.port)
     logger.info("{}: serving on {}:{}", config.name, config.host, config.port)
     actors = [asyncio.create_task(actor) for actor in (node.run(), discovery.run(), stop.wait())]
     done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
--- a/meadowworks/node/config.py
+++ b/meadowworks/node/config.py
@@ -10,7 +10,7 @@
 
 from meadowworks.host import Settings
 from meadowworks.node.messages import Listing, listing
-from meadowworks.settings import TRUE, Missing, flatten, read
+from meadowworks.settings import Missing, flatten, read
 
 SOCKETS = 1024  # where no limit is told: what a process may hold on a common system
 
@@ -23,10 +23,11 @@
     discovery: str
     seed: int
     sockets: int
-    known: Listing
+    known: Listing | None  # the list as this controller last had it
     settings: Settings
     zones: dict[str, int]
     routes: dict[str, int]
+    proxies: int  # they are numbered from 0
     batch_ns: int  # batches for the module come at most this often
 
 
@@ -61,17 +62,18 @@
     if settings.slices:
         raise Missing("extra.slices is set, but the protocol has no form for slices")
     try:
-        known = listing(given["known"]) if given.get("known") else Listing(0, True, ())
+        known = listing(given["known"]) if given.get("known") else None
     except ValueError as trouble:
         raise Missing(f"known cannot be read: {trouble}") from trouble
     limits = given.get("limits")
     sockets = limits.get("sockets") if isinstance(limits, dict) else None
-    seed = str(given.get("seed", ""))
+    try:
+        proxies, batch = int(float(flat["extra.proxy_count"])), round(float(flat.get("tick_us", "0"))) * 1000
+    except (KeyError, ValueError) as trouble:
+        raise Missing(f"setting extra.proxy_count or tick_us is missing or no number: {trouble}") from trouble
     return Config(
         name=text("name"), host=host, port=int(port), discovery=text("discovery"),
-        seed=zlib.crc32(seed.encode()), sockets=int(sockets) if sockets else SOCKETS, known=known,
-        settings=settings, zones=zones, routes=routes, batch_ns=round(float(flat.get("tick_us", "0"))) * 1000,
+        seed=zlib.crc32(str(given.get("seed", "")).encode()),
+        sockets=int(sockets) if sockets else SOCKETS, known=known,
+        settings=settings, zones=zones, routes=routes, proxies=proxies, batch_ns=batch,
     )
-
-
-__all__ = ["TRUE", "Config", "Missing", "load"]
--- a/meadowworks/node/controller.py
+++ b/meadowworks/node/controller.py
@@ -46,7 +46,7 @@
         self, config: Config, mailbox: Mailbox[News | ListNews | Due], lists: Mailbox[Track]
     ) -> None:
         self.mailbox, self.lists = mailbox, lists
-        self.zones, self.routes = config.zones, config.routes
+        self.zones, self.routes, self.proxies = config.zones, config.routes, config.proxies
         self.batch_ns = config.batch_ns
         self.clock = Clock()
         self.names: list[str] = []
@@ -57,7 +57,8 @@
         self.told_ns = self.now
         self.loop = asyncio.get_running_loop()
         self.module = Controller(self, config.settings, config.seed, self.now)
-        self.listed("disk", config.known)
+        if config.known:
+            self.listed("disk", config.known)
 
     # -- the module's host
 
@@ -102,7 +103,7 @@
             self.guarded(lambda item=item: self.happen(item), item)  # type: ignore[misc]
         self.guarded(self.send, "orders")
         if self.now - self.told_ns >= SUMMARY_NS:
-            self.summary()
+            self.guarded(self.summary, "counters")
 
     def guarded(self, act: Callable[[], None], what: object) -> None:
         """A fault in one event ends a debug build; a release logs it, counts it and serves on."""
@@ -140,9 +141,9 @@
                 self.module.tick(self.now)
 
     def joined(self, proxy: int, zone: str, usual: float, stream: Mailbox[Told]) -> None:
-        if zone not in self.zones:
-            count("joinings refused: unknown zone")
-            return stream.put(End(f"unknown zone {zone!r}"))
+        if zone not in self.zones or proxy >= self.proxies:
+            count("joinings refused: unknown zone or number")
+            return stream.put(End(f"zone {zone!r} or number {proxy} is not in the settings"))
         if proxy in self.streams:  # the old stream has not been seen to end; its end is no second leaving
             self.streams[proxy].put(End("replaced by a new one"))
             self.left(proxy)
--- a/meadowworks/node/discovery.py
+++ b/meadowworks/node/discovery.py
@@ -15,8 +15,10 @@
 # connection that has gone silent is told soon; a watch that goes on costs discovery nothing.
 WAIT_PART = 0.2
 WAIT_MOST_MS = 60_000
-ANSWER_S = 2.0  # beyond its wait an answer takes at most so long where discovery still speaks
-CONNECT_S = 1.0  # the same for a connection to come up
+# What discovery has to tell counts as told 2 s after a wait is over. The answer to a watch that goes on is
+# missed soon enough to ask again before; a new watch may have to wait for its turn until then.
+ANSWER_S, TURN_S = 1.0, 2.0
+CONNECT_S = 1.0  # a connection that has not come up by now will not
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,17 +36,17 @@
 
 class Discovery:
     def __init__(
-        self, address: str, index: int, ask_within_ns: int, mailbox: Mailbox[Track], module: Mailbox[ListNews]
+        self, address: str, index: int | None, ask_within_ns: int,
+        mailbox: Mailbox[Track], module: Mailbox[ListNews],
     ) -> None:
         self.url = f"http://{address}/discovery/hosts"
-        self.index: int | None = index or None
+        self.index: int | None = index
         self.wait_ms = min(WAIT_MOST_MS, int(ask_within_ns * WAIT_PART) // 1_000_000) or WAIT_MOST_MS
         self.mailbox, self.module = mailbox, module
-        self.tracking = False
+        self.tracking = self.goes_on = False
 
     async def run(self) -> None:
-        limit = aiohttp.ClientTimeout(total=self.wait_ms / 1000 + ANSWER_S, sock_connect=CONNECT_S)
-        async with aiohttp.ClientSession(timeout=limit) as session:
+        async with aiohttp.ClientSession() as session:
             while True:
                 while not self.tracking or self.mailbox.arrived.is_set():
                     await self.mailbox.wait()
@@ -52,13 +54,14 @@
                         self.tracking = track.on
                 try:
                     news = await self.call(session)
-                except (aiohttp.ClientError, TimeoutError, ValueError, OSError) as trouble:
-                    self.tracking = False
+                except Exception as trouble:  # whatever it is, the old list stands and the module is told
+                    self.tracking = self.goes_on = False
                     count("list calls failed")
                     why = f"{type(trouble).__name__} {trouble}"
                     logger.warning("list: call failed, {}", why)
                     self.module.put(ListFailed(why))
                 else:
+                    self.goes_on = True
                     if news.whole or news.entries:
                         logger.info("list: index {}, {}, {} entries", news.index,
                                     "whole" if news.whole else "changes", len(news.entries))
@@ -67,7 +70,9 @@
     async def call(self, session: aiohttp.ClientSession) -> Listing:
         """One call of a watch; without an index, the whole list."""
         query = {} if self.index is None else {"index": str(self.index), "wait": str(self.wait_ms)}
-        async with session.get(self.url, params=query) as answer:
+        late_s = ANSWER_S if self.goes_on else TURN_S
+        limit = aiohttp.ClientTimeout(total=self.wait_ms / 1000 + late_s, sock_connect=CONNECT_S)
+        async with session.get(self.url, params=query, timeout=limit) as answer:
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             news = read_listing(await answer.read())
--- a/meadowworks/node/invariants.py
+++ b/meadowworks/node/invariants.py
@@ -10,8 +10,10 @@
 counts: Counter[str] = Counter()
 
 
-def count(what: str, times: int = 1) -> None:
+def count(what: str, times: int = 1) -> bool:
+    """Whether this is the first, second, fourth, eighth such thing: a log that tells of these stays short."""
     counts[what] += times
+    return counts[what] & (counts[what] - 1) == 0
 
 
 def holds(truth: bool, what: str) -> None:
--- a/meadowworks/node/listener.py
+++ b/meadowworks/node/listener.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from collections.abc import Container
 
 from aiohttp.base_protocol import BaseProtocol
 from loguru import logger
@@ -22,13 +24,15 @@
 STRANGERS_PART = 0.25  # of the sockets; beyond that the oldest stranger gives way
 BACKLOG = 512  # connections that may wait to be taken: a fleet that dials at once, with strangers among it
 REPORTS_MOST = 4096  # waiting on one connection: many times what the report rate brings in a stall
+COLLECTORS_MOST = 4  # of one zone: each zone has one, and older ones may be cut off without a word
 
 
 class Door:
     """The listening socket, and who has come in without a name so far."""
 
-    def __init__(self, module: Mailbox[News], sockets: int) -> None:
-        self.module = module
+    def __init__(self, module: Mailbox[News], zones: Container[str], sockets: int) -> None:
+        self.module, self.zones = module, zones
+        self.collectors: dict[str, deque[Mailbox[Told]]] = {}
         self.strangers: dict[Connection, None] = {}  # oldest first
         self.strangers_most = max(1, int(sockets * STRANGERS_PART))
         self.peers: set[asyncio.Task[None]] = set()
@@ -50,6 +54,14 @@
 
     def employ(self, first: Attach | Collector, transport: asyncio.Transport, mailbox: Mailbox[Told]) -> None:
         """Starts the actor of a peer that has said who it is."""
+        if isinstance(first, Collector):
+            if first.zone not in self.zones:
+                count("collectors refused: unknown zone")
+                return transport.abort()
+            others = self.collectors.setdefault(first.zone, deque())
+            others.append(mailbox)
+            if len(others) > COLLECTORS_MOST:
+                others.popleft().put(End("newer ones of its zone have come"))
         work = (proxies.serve(first, transport, mailbox, self.module) if isinstance(first, Attach)
                 else collectors.serve(first, transport, mailbox, self.module))
         task = asyncio.get_running_loop().create_task(work)
@@ -110,8 +122,8 @@
         try:
             said = decode(line)
         except ValueError as trouble:
-            count("lines passed over: unreadable")
-            logger.warning("passed over {!r}: {}", line[:120], trouble)
+            if count("lines passed over: unreadable"):
+                logger.warning("passed over {!r}: {}", line[:120], trouble)
             return
         if self.mailbox:
             self.mailbox.put(said, report=isinstance(said, Met | Asked))
--- a/meadowworks/settings.py
+++ b/meadowworks/settings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from math import isfinite, nan
 from typing import Any
 
 from meadowworks.host import Route, Settings
@@ -57,9 +58,12 @@
     def number(key: str) -> float:
         value = text(key)
         try:
-            return float(value)
+            found = float(value)
         except ValueError:
-            raise Missing(f"setting {key} is no number: {value!r}") from None
+            found = nan
+        if not isfinite(found):
+            raise Missing(f"setting {key} is no number: {value!r}")
+        return found
 
     def span(key: str) -> int:
         return round(number(key)) * 1000
@@ -96,7 +100,7 @@
         probes=options.get("limits.probes") in TRUE,
         level_kind=text("extra.level_kind"),
         base_retry=round(number("extra.base_mode")),
-        ejects=round(float(options.get("extra.ejects", "0"))),
+        ejects=round(number("extra.ejects")) if "extra.ejects" in options else 0,
         report_ns=span("extra.cycle_us"),
         fixed_weights=options.get("weight_kind") != "live",
         channel_rate=number("extra.channel_rate"),
