Test the real controller over sockets, and its orders beside the simulator's wire

Integration tests start the program among stand-ins for discovery, proxies and collectors; they wait for conditions, not for times. Under hypothesis the same orders go through the simulator's adapter and through the node's: each proxy ends up with the same tables and levels, and no message holds more lines than the channel was counted for.

--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,264 @@
+"""The program on loopback sockets, among stand-ins for discovery, proxies and collectors."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.helpers import NESTED, PATIENCE_S, Desk, Peer, Program, listed, play
+
+THREE = listed("s-1"), listed("s-2"), listed("s-9", "west")
+
+
+def holds(*names: str) -> Any:
+    return lambda peer: all(set(table) == set(names) for table in peer.tables.values())
+
+
+def rid(name: str) -> Any:
+    """Whether the tables have lost a backend and still name another: others may come in from abroad."""
+    return lambda peer: all(table and name not in table for table in peer.tables.values())
+
+
+def beaten(peer: Peer) -> bool:
+    return peer.beats > 0
+
+
+def test_it_answers_and_binds_from_its_known_list_while_discovery_says_nothing(tmp_path: Path) -> None:
+    desk = Desk(*THREE)
+    desk.mood = "silent"
+
+    async def act(program: Program) -> None:
+        peer = await program.peer("hb")
+        await peer.until(beaten)
+        east, west = await program.proxy(0), await program.proxy(1, "west")
+        await east.until(holds("s-1", "s-2"))
+        await west.until(holds("s-9"))
+
+    play(act, tmp_path, desk)
+
+
+def test_a_drain_and_a_new_backend_go_from_the_list_to_the_streams(tmp_path: Path) -> None:
+    desk = Desk(*THREE)
+
+    async def act(program: Program) -> None:
+        east, west = await program.proxy(0), await program.proxy(1, "west")
+        await east.until(holds("s-1", "s-2"))
+        await desk.tell(listed("s-1", status="terminating"))
+        await east.until(rid("s-1"))
+        await desk.tell(listed("s-2", status="terminated"))  # a zone with none of its own has a table of all
+        await east.until(holds("s-9"))
+        await desk.tell(listed("s-3"))
+        await east.until(holds("s-3"))
+        assert west.tables["look"].keys() <= {"s-9"}
+
+    play(act, tmp_path, desk)
+
+
+@pytest.mark.parametrize("mood", ["down", "cut", "silent", "back"])
+def test_a_list_that_fails_stands_and_is_followed_again(tmp_path: Path, mood: str) -> None:
+    desk = Desk(*THREE)
+    soon = {**NESTED, "safety": {**NESTED["safety"], "ask_within_us": 2000000}}
+
+    async def act(program: Program) -> None:
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2"))
+        await desk.tell(mood=mood)
+        first = desk.calls
+        async with asyncio.timeout(PATIENCE_S):
+            while desk.calls < first + 2:  # the call that fails, and the next one
+                await asyncio.sleep(0.02)
+        assert holds("s-1", "s-2")(east)
+        await desk.tell(listed("s-1", status="terminating"))
+        await east.until(rid("s-1"))
+        assert "list: call failed" in program.log()
+
+    play(act, tmp_path, desk, settings=soon)
+
+
+def test_a_new_stream_takes_the_place_of_one_that_has_not_been_seen_to_end(tmp_path: Path) -> None:
+    desk = Desk(*THREE)
+
+    async def act(program: Program) -> None:
+        old = await program.proxy(0)
+        await old.until(holds("s-1", "s-2"))
+        new = await program.proxy(0)
+        await new.until(holds("s-1", "s-2"))
+        await old.over()  # its end is no second leaving: the new stream is still served
+        await desk.tell(listed("s-1", status="terminating"))
+        await new.until(rid("s-1"))
+
+    play(act, tmp_path, desk)
+
+
+def test_lines_come_in_pieces_and_several_at_once(tmp_path: Path) -> None:
+    async def act(program: Program) -> None:
+        peer = await program.peer()
+        for byte in b"attach id=0 site=east rps=1 new=1\r\nh":
+            peer.writer.write(bytes([byte]))
+            await peer.writer.drain()
+            await asyncio.sleep(0)
+        peer.say("b", "hb", "hb")
+        await peer.until(lambda p: p.beats == 3 and holds("s-1", "s-2")(p))
+
+    play(act, tmp_path, Desk(*THREE))
+
+
+def test_lines_without_sense_are_counted_and_the_connection_is_kept(tmp_path: Path) -> None:
+    async def act(program: Program) -> None:
+        proxy = await program.proxy(0)
+        collector = await program.peer("telemetry site=east")
+        for peer in (proxy, collector):
+            peer.say("", "what", "done id=0", "client_stats id=0 lane=none count=1 fail=0 over=1000",
+                     "client_stats id=0 lane=look count=-1 fail=0 over=1000",
+                     "upstream_stats site=east target=s-404 count=2 fail=0 mean=3 over=1000",
+                     "upstream_stats site=moon target=s-1 count=2 fail=0 mean=3 over=1000",
+                     "upstream_stats site=east target=s-1 count=2 fail=0 mean=nan over=1000",
+                     "upstream_stats site=east target=s-1 count=2 fail=0 mean=3 over=inf",
+                     "upstream_stats site=east target=s-1 count=2 fail=0 mean=3 over=1000 util=queue:x")
+            peer.writer.write(b"\xff\xfe\r\n")
+            peer.say("upstream_stats site=east target=s-1 count=2 fail=0 mean=3 over=1000 util=queue:1", "hb")
+            await peer.until(beaten)
+
+    play(act, tmp_path, Desk(*THREE))
+
+
+def test_a_line_too_long_ends_its_connection_alone(tmp_path: Path) -> None:
+    async def act(program: Program) -> None:
+        proxy, other = await program.proxy(0), await program.proxy(1)
+        await other.until(holds("s-1", "s-2"))
+        proxy.writer.write(b"x" * (1 << 21))
+        await proxy.over()
+        stranger = await program.peer()
+        stranger.writer.write(b"y" * (1 << 14))
+        await stranger.over()
+        other.say("hb")
+        await other.until(beaten)
+
+    play(act, tmp_path, Desk(*THREE))
+
+
+def test_strangers_beyond_all_descriptors_leave_room_for_peers(tmp_path: Path) -> None:
+    async def act(program: Program) -> None:
+        crowd = [await program.peer() for _ in range(120)]
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2"))
+        assert len(crowd) == 120 and "out of system resource" not in program.log()
+
+    play(act, tmp_path, Desk(*THREE), sockets=64)
+
+
+def test_joinings_that_make_no_sense_are_ended(tmp_path: Path) -> None:
+    async def act(program: Program) -> None:
+        for line in ("attach id=0 site=moon rps=1 new=1", "attach id=4 site=east rps=1 new=1",
+                     "telemetry site=moon"):
+            await (await program.peer(line)).over()
+
+    play(act, tmp_path, Desk(*THREE))
+
+
+def test_collectors_cut_off_without_a_word_do_not_pile_up(tmp_path: Path) -> None:
+    async def act(program: Program) -> None:
+        oldest, *others = [await program.peer("telemetry site=east", "hb") for _ in range(8)]
+        await oldest.over()
+        others[-1].say("hb")
+        await others[-1].until(lambda p: p.beats == 2)
+
+    play(act, tmp_path, Desk(*THREE))
+
+
+def test_heavy_dropping_reported_by_a_collector_brings_a_backend_down(tmp_path: Path) -> None:
+    async def act(program: Program) -> None:
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2", "s-3"))
+        before = east.tables["look"]["s-1"]
+        collector = await program.peer("telemetry site=east")
+
+        async def report() -> None:
+            while True:
+                for k in (1, 2, 3):
+                    collector.say(f"upstream_stats site=east target=s-{k} count=20 fail={20 * (k == 1)} "
+                                  "mean=90 over=500 util=queue:0")
+                collector.say("client_stats id=0 lane=look count=20 fail=0 over=500")
+                await asyncio.sleep(0.2)
+
+        reports = asyncio.create_task(report())
+        await east.until(lambda p: p.tables["look"]["s-1"] < before / 2)
+        reports.cancel()
+
+    play(act, tmp_path, Desk(*THREE, listed("s-3")))
+
+
+def test_killed_and_started_from_nothing_it_serves_those_who_come_back(tmp_path: Path) -> None:
+    desk = Desk(*THREE)
+
+    async def act(program: Program) -> None:
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2"))
+        await desk.tell(listed("s-1", status="terminating"))
+        await east.until(rid("s-1"))
+        await program.end(signal.SIGKILL)
+        await east.over()
+        await program.start()
+        again = await program.proxy(0)
+        await again.until(rid("s-1"))  # known names s-1, discovery takes it out
+
+    play(act, tmp_path, desk)
+
+
+@pytest.mark.parametrize(("change", "said"), [
+    ({"settings": {**NESTED, "zones": None}}, "setting zones is missing"),
+    ({"settings": {**NESTED, "extra": {**NESTED["extra"], "queue_cap": "much"}}}, "extra.queue_cap"),
+    ({"settings": {**NESTED, "limits": {"probes": True}}}, "limits.probes"),
+    ({"settings": {**NESTED, "extra": {**NESTED["extra"], "slices": 8}}}, "extra.slices"),
+    ({"settings": None}, "settings are missing"),
+    ({"listen": "nowhere"}, "listen is no address"),
+    ({"name": ""}, "NODE_NAME is not set"),
+    ({"known": {"index": 1}}, "known cannot be read"),
+])
+def test_what_it_cannot_start_with_is_named_in_one_line(
+    tmp_path: Path, change: dict[str, Any], said: str
+) -> None:
+    async def act() -> None:
+        program = Program(tmp_path, Desk())
+        program.config.update(change, discovery="127.0.0.1:1")
+        await program.start()
+        assert await program.end(0) == 2
+        assert said in program.log() and program.log().count("\n") == 1
+
+    asyncio.run(act())
+
+
+FAULTY = """
+import sys
+from meadowworks import __main__, rules
+sound = rules.Controller.joined
+def joined(self, now, number, zone, usual):
+    if number == 3:
+        raise RuntimeError("no sense")
+    sound(self, now, number, zone, usual)
+rules.Controller.joined = joined
+sys.exit(__main__.main())
+"""
+
+
+@pytest.mark.parametrize("build", ["release", "debug"])
+def test_a_fault_in_one_event_ends_a_debug_build_and_is_counted_in_a_release(
+    tmp_path: Path, build: str
+) -> None:
+    async def act() -> None:
+        program = Program(tmp_path, Desk(*THREE))
+        await program.start(*["-O"] * (build == "release"), "-c", FAULTY)
+        await program.proxy(3)
+        if build == "debug":
+            assert await program.end(0) != 0
+        else:
+            await (await program.proxy(0)).until(holds("s-1", "s-2"))
+            assert await program.end(signal.SIGTERM) == 0
+            assert "faults in an event: 1" in program.log()
+        assert "no sense" in program.log()
+
+    asyncio.run(act())
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,207 @@
+"""The parts of the real controller one by one: orders beside the simulator's wire, mailboxes, messages."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from meadowworks.node import listener, proxies
+from meadowworks.node.mailbox import Mailbox
+from meadowworks.node.messages import Attach, Beat, Met, decode, encode, listing
+from meadowworks.node.orders import Orders
+from meadowworks.settings import flatten, read
+from meadowworks.wirehost.wire import Instance
+from tests.helpers import LANES, NESTED, Peer
+
+NAMES = ["s-0", "s-1", "s-2"]
+ORDER = st.one_of(
+    st.tuples(st.just("set_line"), st.integers(0, 1), st.integers(0, 2), st.sampled_from([0.0, 0.5, 2.0])),
+    st.tuples(st.just("bind"), st.integers(0, 3), st.integers(0, 2), st.integers(0, 1)),
+    st.tuples(st.just("admit"), st.integers(0, 1), st.integers(0, 3), st.sampled_from([0.1, 1.0]),
+              st.integers(0, 1)),
+    st.tuples(st.just("leave"), st.integers(0, 2)),
+    st.tuples(st.just("turn")),
+)
+
+
+class Wire:
+    """What each proxy holds by the simulator's wire, and what the channel counts for it."""
+
+    def __init__(self) -> None:
+        self.tables: dict[int, dict[str, float]] = {0: {}, 1: {}}
+        self.levels: dict[tuple[int, str], tuple[float, int]] = {}
+        self.bound: dict[int, dict[str, int]] = {p: {} for p in range(3)}
+        self.cost: dict[int, int] = {}
+
+    def lanes(self, mask: str) -> list[str]:
+        return [lane for k, lane in enumerate(LANES) if mask == "0" or int(mask) >> k & 1]
+
+    def apply(self, line: str) -> None:
+        kind, _, *v = line.split("\t")
+        if kind == "SUBSCRIBE_TO":
+            self.bound[int(v[1])].update((lane, int(v[2])) for lane in self.lanes(v[0]))
+            levels = sum((int(v[2]), lane) in self.levels for lane in LANES)
+            self.cost[int(v[1])] = self.cost.get(int(v[1]), 0) + 1 + len(self.tables[int(v[2])]) + levels
+            return
+        table = int(v[0])
+        if kind == "UPSERT":
+            self.tables[table][v[1]] = float(v[2])
+            if not float(v[2]):
+                del self.tables[table][v[1]]
+        else:
+            self.levels.update(((table, lane), (float(v[2]), int(v[3]))) for lane in self.lanes(v[1]))
+        for proxy, bound in self.bound.items():
+            if table in bound.values():
+                self.cost[proxy] = self.cost.get(proxy, 0) + 1
+
+    def held(self, proxy: int) -> dict[str, Any]:
+        bound = self.bound[proxy]
+        return {lane: (self.tables[t], self.levels.get((t, lane))) for lane, t in bound.items()}
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=150)
+@given(st.lists(ORDER, max_size=30))
+def test_a_proxy_ends_up_with_what_the_simulators_wire_would_give_it(calls: list[Any]) -> None:
+    out: list[str] = []
+    sim, wire, orders = Instance("n", 1, flatten(NESTED), out, 0), Wire(), Orders(LANES, NAMES)
+    for name in NAMES:
+        sim.index(name)
+    peers = {p: Peer() for p in range(3)}
+    for p in peers:
+        orders.join(p)
+    for what, *how in [*calls, ("turn",)]:
+        if what == "leave":
+            for turn in ("leave", "join"):
+                getattr(orders, turn)(how[0])
+            peers[how[0]], wire.bound[how[0]] = Peer(), {}
+            wire.cost.pop(how[0], None)
+        elif what != "turn":
+            known = wire.tables[how[0]] if what == "set_line" else {}
+            if what == "set_line" and not how[2] and NAMES[how[1]] not in known:
+                continue  # the module takes out only what is there
+            out.clear()
+            getattr(sim, what)(*how)
+            getattr(orders, what)(*how)
+            for line in out:
+                wire.apply(line)
+        else:
+            sent = dict(orders.messages())
+            assert set(sent) <= set(wire.cost)
+            for p, parts in sent.items():
+                assert 0 < sum(part.cost() for part in parts) <= wire.cost[p]
+                for line in encode(parts).decode().split("\r\n")[:-1]:
+                    peers[p].apply(line)
+            assert all(peers[p].messages <= 30 for p in peers)
+            wire.cost.clear()
+            for p, peer in peers.items():
+                held = {lane: (peer.tables[lane], peer.levels.get(lane)) for lane in wire.bound[p]}
+                assert held == wire.held(p)
+
+
+def test_both_adapters_read_the_same_settings() -> None:
+    flat = flatten(NESTED)
+    assert (flat["zones"], flat["profiles.count"], flat["profiles.1.name"]) == ("east,west", "2", "book")
+    assert flat["extra.home_only"] == "false,false" and flat["extra.by_zone"] == "true"
+    found, zones, routes = read(flat)
+    assert zones == {"east": 0, "west": 1} and routes == {"look": 0, "book": 1}
+    assert found.by_zone and found.subscribe and not found.probes and found.report_ns == 500_000_000
+
+
+def test_a_full_mailbox_drops_its_oldest_reports_and_nothing_else() -> None:
+    async def act() -> list[str]:
+        box: Mailbox[str] = Mailbox(2)
+        for item in ("join", "a", "b", "leave", "c", "d"):
+            box.put(item, report=len(item) == 1)
+        return box.drain()
+
+    assert asyncio.run(act()) == ["join", "leave", "c", "d"]
+
+
+def test_an_order_to_a_proxy_that_has_not_joined_ends_a_debug_build() -> None:
+    with pytest.raises(AssertionError):
+        Orders(LANES, NAMES).bind(0, 7, 0)
+
+
+@pytest.mark.parametrize("figure", [float("nan"), float("inf"), -1.0])
+def test_no_figure_without_sense_goes_out(figure: float) -> None:
+    orders = Orders(LANES, NAMES)
+    orders.join(0)
+    orders.bind(0, 0, 0)
+    orders.set_line(0, 0, figure)
+    with pytest.raises(ValueError, match="cannot be ordered"):
+        encode(dict(orders.messages())[0])
+
+
+def test_a_small_weight_is_neither_nothing_nor_written_with_an_exponent() -> None:
+    orders = Orders(LANES, NAMES)
+    orders.join(0)
+    orders.set_line(0, 1, 1e-12)
+    orders.bind(1, 0, 0)
+    assert encode(dict(orders.messages())[0]) == b"assign routes=look full=1 endpoints=s-1:0.000000001\r\n"
+
+
+def test_lines_of_the_protocol_are_read_in_its_units() -> None:
+    told = b"upstream_stats site=a target=s-5 count=4 fail=1 mean=41.7 over=1000.0 util=inflight:7,util:0.61"
+    assert decode(told) == Met("a", "s-5", 4, 1, 41_700_000, 1_000_000_000, {"inflight": 7.0, "util": 0.61})
+    assert decode(b"attach id=17 site=a rps=21.5 new=1\r") == Attach(17, "a", 21.5, True)
+    none_good = decode(b"upstream_stats site=a target=s-5 count=2 fail=2 over=500")
+    assert none_good == Met("a", "s-5", 2, 2, 0, 500_000_000, {})
+    with pytest.raises(ValueError, match="5 of 4"):
+        decode(told.replace(b"fail=1", b"fail=5"))
+
+
+@pytest.mark.parametrize("answer", [None, [], {}, {"index": 1, "snapshot": True}, {
+    "index": 1, "snapshot": True, "endpoints": [{"name": "s", "zone": "a", "status": "odd"}]}])
+def test_a_list_without_sense_is_an_error(answer: Any) -> None:
+    with pytest.raises(ValueError, match="without sense"):
+        listing(answer)
+
+
+class Transport:
+    """A peer that reads nothing."""
+
+    def __init__(self) -> None:
+        self.unread = b""
+        self.aborted = False
+
+    def write(self, data: bytes) -> None:
+        self.unread += data
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.unread)
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+def test_a_stream_that_is_not_read_is_ended_alone_and_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(proxies, "UNSENT_MOST", 20)
+
+    async def act() -> None:
+        slow, stream, module = Transport(), Mailbox[proxies.Told](9), Mailbox[proxies.News](9)
+        for _ in range(3):
+            stream.put(Beat())
+        await proxies.serve(Attach(2, "a", 1.0, True), cast(asyncio.Transport, slow), stream, module)
+        assert slow.aborted
+        assert module.drain() == [proxies.Joined(Attach(2, "a", 1.0, True), stream), proxies.Left(2, stream)]
+
+    asyncio.run(act())
+
+
+def test_who_says_nothing_for_long_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(listener, "STRANGER_S", 0.05)
+
+    async def act() -> None:
+        server = await listener.Door(Mailbox[proxies.News](9), {"a"}, 64).open("127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        silent, named = await Peer().dial(port), await Peer().dial(port, "attach id=0 site=a rps=1 new=1")
+        await silent.over()
+        named.say("hb")
+        await named.until(lambda peer: peer.beats == 1)
+        server.close()
+
+    asyncio.run(act())
