--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -6,12 +6,14 @@
 import os
 import signal
 import sys
+from typing import Any
 
 from loguru import logger
 
 from meadowworks.node.config import Config, load
 from meadowworks.node.controller import Node
 from meadowworks.node.discovery import Discovery, Track
+from meadowworks.node.invariants import count
 from meadowworks.node.listener import Door
 from meadowworks.node.mailbox import Mailbox
 from meadowworks.settings import Missing
@@ -22,25 +24,37 @@
 
 async def serve(config: Config) -> None:
     """Starts every actor, and ends when told to or when one of them fails."""
-    module: Mailbox = Mailbox(REPORTS_MOST)  # type: ignore[type-arg]
-    lists: Mailbox[Track] = Mailbox(LIST_MOST)
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(fault)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, stop.set)
+    module: Mailbox = Mailbox(REPORTS_MOST)  # type: ignore[type-arg]
+    lists: Mailbox[Track] = Mailbox(LIST_MOST)
     node = Node(config, module, lists)
     index = config.known.index if config.known else None
     discovery = Discovery(config.discovery, index, config.settings.ask_within_ns, lists, module)
-    server = await Door(module, config.zones, config.sockets).open(config.host, config.port)
-    logger.info("{}: serving on {}:{}", config.name, config.host, config.port)
-    actors = [asyncio.create_task(actor) for actor in (node.run(), discovery.run(), stop.wait())]
+    door = Door(module, config.zones, config.sockets)
+
+    async def listen() -> None:
+        async with await door.open(config.host, config.port) as server:
+            logger.info("{}: serving on {}:{}", config.name, config.host, config.port)
+            await server.serve_forever()
+
+    actors = [loop.create_task(actor) for actor in (node.run(), discovery.run(), listen(), stop.wait())]
     done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
-    server.close()
     node.summary()
     for actor in done:
         actor.result()  # a failed actor ends the program with its fault
     logger.info("{}: told to end", config.name)
 
 
+def fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """What fails outside an actor, in the loop or the transports."""
+    if count("faults in the loop"):
+        logger.opt(exception=context.get("exception")).error("loop: {}", context.get("message"))
+
+
 def main() -> int:
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
@@ -51,8 +65,8 @@
         return 2
     try:
         asyncio.run(serve(config))
-    except OSError as trouble:
-        print(f"meadowworks: {config.host}:{config.port}: {trouble}", file=sys.stderr)
+    except Exception:
+        logger.exception("an actor failed: the program ends")
         return 1
     return 0
 
--- a/meadowworks/node/discovery.py
+++ b/meadowworks/node/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 
 import aiohttp
@@ -19,6 +20,7 @@
 # missed soon enough to ask again before; a new watch may have to wait for its turn until then.
 ANSWER_S, TURN_S = 1.0, 2.0
 CONNECT_S = 1.0  # a connection that has not come up by now will not
+READ_S = 0.1  # a process that stood still reads what came in meanwhile before it gives a call up
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,14 +48,15 @@
         self.tracking = self.goes_on = False
 
     async def run(self) -> None:
-        async with aiohttp.ClientSession() as session:
+        limits = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
+        async with aiohttp.ClientSession(timeout=limits) as session:
             while True:
                 while not self.tracking or self.mailbox.arrived.is_set():
                     await self.mailbox.wait()
                     for track in self.mailbox.drain():
                         self.tracking = track.on
                 try:
-                    news = await self.call(session)
+                    news = await self.timely(session)
                 except Exception as trouble:  # whatever it is, the old list stands and the module is told
                     self.tracking = self.goes_on = False
                     count("list calls failed")
@@ -67,12 +70,24 @@
                                     "whole" if news.whole else "changes", len(news.entries))
                     self.module.put(news)
 
+    async def timely(self, session: aiohttp.ClientSession) -> Listing:
+        """One call within its limit. Guards against giving up, after a stall that outlasted the limit, an
+        answer that lies in the socket: what it told counts as told."""
+        call = asyncio.ensure_future(self.call(session))
+        try:
+            limit_s = self.wait_ms / 1000 + (ANSWER_S if self.goes_on else TURN_S)
+            for wait_s in (limit_s, READ_S):
+                await asyncio.wait({call}, timeout=wait_s)
+            if not call.done():
+                raise TimeoutError(f"no answer within {limit_s} s")
+            return call.result()
+        finally:
+            call.cancel()
+
     async def call(self, session: aiohttp.ClientSession) -> Listing:
         """One call of a watch; without an index, the whole list."""
         query = {} if self.index is None else {"index": str(self.index), "wait": str(self.wait_ms)}
-        late_s = ANSWER_S if self.goes_on else TURN_S
-        limit = aiohttp.ClientTimeout(total=self.wait_ms / 1000 + late_s, sock_connect=CONNECT_S)
-        async with session.get(self.url, params=query, timeout=limit) as answer:
+        async with session.get(self.url, params=query) as answer:
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             news = read_listing(await answer.read())
--- a/meadowworks/node/listener.py
+++ b/meadowworks/node/listener.py
@@ -24,6 +24,7 @@
 STRANGERS_PART = 0.25  # of the sockets; beyond that the oldest stranger gives way
 BACKLOG = 512  # connections that may wait to be taken: a fleet that dials at once, with strangers among it
 REPORTS_MOST = 4096  # waiting on one connection: many times what the report rate brings in a stall
+OPEN_S, OPEN_AGAIN_S = 10.0, 0.05  # how long to try for the address, and how often
 COLLECTORS_MOST = 4  # of one zone: each zone has one, and older ones may be cut off without a word
 
 
@@ -38,8 +39,18 @@
         self.peers: set[asyncio.Task[None]] = set()
 
     async def open(self, host: str, port: int) -> asyncio.Server:
+        """Guards against an address that a predecessor, killed a moment ago, still holds."""
         loop = asyncio.get_running_loop()
-        return await loop.create_server(lambda: Connection(loop, self), host, port, backlog=BACKLOG)
+        end = loop.time() + OPEN_S
+        while True:
+            try:
+                return await loop.create_server(lambda: Connection(loop, self), host, port, backlog=BACKLOG)
+            except OSError as trouble:
+                if loop.time() > end:
+                    raise
+                if count("address not free"):
+                    logger.warning("{}:{} is not free yet: {}", host, port, trouble)
+            await asyncio.sleep(OPEN_AGAIN_S)
 
     def come(self, connection: Connection) -> None:
         if len(self.strangers) >= self.strangers_most:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -79,6 +80,40 @@
     play(act, tmp_path, desk, settings=soon)
 
 
+def test_a_stall_that_outlasts_a_watch_loses_no_answer(tmp_path: Path) -> None:
+    desk = Desk(*THREE)
+    soon = {**NESTED, "safety": {**NESTED["safety"], "ask_within_us": 1000000}}
+
+    async def act(program: Program) -> None:
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2"))
+        async with asyncio.timeout(PATIENCE_S):
+            while desk.calls < 3:
+                await asyncio.sleep(0.02)
+        program.process.send_signal(signal.SIGSTOP)
+        await desk.tell(listed("s-1", status="terminating"))
+        await asyncio.sleep(2)  # more than a watch and its limit
+        program.process.send_signal(signal.SIGCONT)
+        await east.until(rid("s-1"))
+        assert "call failed" not in program.log()
+
+    play(act, tmp_path, desk, settings=soon)
+
+
+def test_it_waits_for_an_address_that_is_not_free_yet(tmp_path: Path) -> None:
+    async def act() -> None:
+        program = Program(tmp_path, Desk(*THREE))
+        with socket.create_server(("127.0.0.1", program.port)):
+            await program.start()
+            async with asyncio.timeout(PATIENCE_S):
+                while "not free yet" not in program.log():
+                    await asyncio.sleep(0.02)
+        await (await program.proxy(0)).until(holds("s-1", "s-2"))
+        assert await program.end(signal.SIGTERM) == 0
+
+    asyncio.run(act())
+
+
 def test_a_new_stream_takes_the_place_of_one_that_has_not_been_seen_to_end(tmp_path: Path) -> None:
     desk = Desk(*THREE)
 
