Ask discovery with pauses where its answers do not wait; bad limits are named

A discovery that answers a watch at once with nothing new would have been asked as fast as the core allows.

--- a/meadowworks/node/config.py
+++ b/meadowworks/node/config.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from meadowworks.host import Settings
-from meadowworks.node.messages import Listing, listing
+from meadowworks.node.messages import Listing, figure, listing
 from meadowworks.settings import Missing, flatten, read
 
 SOCKETS = 1024  # where no limit is told: what a process may hold on a common system
@@ -65,15 +65,14 @@
         known = listing(given["known"]) if given.get("known") else None
     except ValueError as trouble:
         raise Missing(f"known cannot be read: {trouble}") from trouble
-    limits = given.get("limits")
-    sockets = limits.get("sockets") if isinstance(limits, dict) else None
+    limits = flatten({"limits": given.get("limits")})
     try:
-        proxies, batch = int(float(flat["extra.proxy_count"])), round(float(flat.get("tick_us", "0"))) * 1000
+        proxies, batch_us = round(figure(flat["extra.proxy_count"])), round(figure(flat.get("tick_us", "0")))
+        sockets = round(figure(limits.get("limits.sockets", str(SOCKETS))))
     except (KeyError, ValueError) as trouble:
-        raise Missing(f"setting extra.proxy_count or tick_us is missing or no number: {trouble}") from trouble
+        raise Missing(f"extra.proxy_count, tick_us or limits.sockets: missing or bad: {trouble}") from trouble
     return Config(
         name=text("name"), host=host, port=int(port), discovery=text("discovery"),
-        seed=zlib.crc32(str(given.get("seed", "")).encode()),
-        sockets=int(sockets) if sockets else SOCKETS, known=known,
-        settings=settings, zones=zones, routes=routes, proxies=proxies, batch_ns=batch,
+        seed=zlib.crc32(str(given.get("seed", "")).encode()), sockets=sockets, known=known,
+        settings=settings, zones=zones, routes=routes, proxies=proxies, batch_ns=batch_us * 1000,
     )
--- a/meadowworks/node/discovery.py
+++ b/meadowworks/node/discovery.py
@@ -20,6 +20,7 @@
 # missed soon enough to ask again before; a new watch may have to wait for its turn until then.
 ANSWER_S, TURN_S = 1.0, 2.0
 CONNECT_S = 1.0  # a connection that has not come up by now will not
+HASTE_S = 0.1  # before asking on after an answer that did not wait: no spinning, and the watch goes on
 READ_S = 0.1  # a process that stood still reads what came in meanwhile before it gives a call up
 
 
@@ -48,6 +49,7 @@
         self.tracking = self.goes_on = False
 
     async def run(self) -> None:
+        loop = asyncio.get_running_loop()
         limits = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
         async with aiohttp.ClientSession(timeout=limits) as session:
             while True:
@@ -56,6 +58,7 @@
                     for track in self.mailbox.drain():
                         self.tracking = track.on
                 try:
+                    was, began = self.index, loop.time()
                     news = await self.timely(session)
                 except Exception as trouble:  # whatever it is, the old list stands and the module is told
                     self.tracking = self.goes_on = False
@@ -69,6 +72,9 @@
                         logger.info("list: index {}, {}, {} entries", news.index,
                                     "whole" if news.whole else "changes", len(news.entries))
                     self.module.put(news)
+                    if news.index == was and (loop.time() - began) * 2000 < self.wait_ms:
+                        count("list answers without a wait")
+                        await asyncio.sleep(HASTE_S)
 
     async def timely(self, session: aiohttp.ClientSession) -> Listing:
         """One call within its limit. Guards against giving up, after a stall that outlasted the limit, an
@@ -87,7 +93,7 @@
     async def call(self, session: aiohttp.ClientSession) -> Listing:
         """One call of a watch; without an index, the whole list."""
         query = {} if self.index is None else {"index": str(self.index), "wait": str(self.wait_ms)}
-        async with session.get(self.url, params=query) as answer:
+        async with session.get(self.url, params=query, allow_redirects=False) as answer:
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             news = read_listing(await answer.read())
--- a/meadowworks/node/orders.py
+++ b/meadowworks/node/orders.py
@@ -47,11 +47,7 @@
             del lines[backend]
         for proxy, bound in self.bound.items():
             if table in bound.values():
-                pending = self.told(proxy)
-                changed = pending.lines.setdefault(table, {})
-                changed[backend] = weight
-                if not weight and table in pending.full:
-                    del changed[backend]
+                self.told(proxy).lines.setdefault(table, {})[backend] = weight
 
     def bind(self, routes: int, proxy: int, table: int) -> None:
         holds(proxy in self.bound, "no order to a proxy that has not joined")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -208,6 +208,8 @@
             return response
         if self.mood == "back":
             return web.json_response({"index": 0, "snapshot": False, "endpoints": []})
+        if self.mood == "hasty":
+            return web.json_response(self.since(index))
         return web.json_response(self.since(index)) if self.mood == "well" else web.Response(status=503)
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -100,6 +100,22 @@
     play(act, tmp_path, desk, settings=soon)
 
 
+def test_a_list_that_answers_at_once_each_time_is_not_asked_without_pause(tmp_path: Path) -> None:
+    desk = Desk(*THREE)
+    desk.mood = "hasty"
+
+    async def act(program: Program) -> None:
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2"))
+        first = desk.calls
+        await asyncio.sleep(1)
+        assert desk.calls - first <= 20  # ten, where calls take no time
+        await desk.tell(listed("s-1", status="terminating"), mood="hasty")
+        await east.until(rid("s-1"))
+
+    play(act, tmp_path, desk)
+
+
 def test_it_waits_for_an_address_that_is_not_free_yet(tmp_path: Path) -> None:
     async def act() -> None:
         program = Program(tmp_path, Desk(*THREE))
