--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -12,10 +12,11 @@
 
 from meadowworks.node.config import Config, load
 from meadowworks.node.controller import Node
-from meadowworks.node.discovery import Discovery, Track
+from meadowworks.node.discovery import Discovery
 from meadowworks.node.invariants import count
 from meadowworks.node.listener import Door
 from meadowworks.node.mailbox import Mailbox
+from meadowworks.node.messages import News, Track
 from meadowworks.settings import Missing
 
 REPORTS_MOST = 16384  # waiting for the module: more than a minute of all that a report rate brings
@@ -29,7 +30,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    module: Mailbox = Mailbox(REPORTS_MOST)  # type: ignore[type-arg]
+    module: Mailbox[News] = Mailbox(REPORTS_MOST)
     lists: Mailbox[Track] = Mailbox(LIST_MOST)
     node = Node(config, module, lists)
     index = config.known.index if config.known else None
--- a/meadowworks/node/collectors.py
+++ b/meadowworks/node/collectors.py
@@ -8,8 +8,7 @@
 
 from meadowworks.node.invariants import count
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import BEAT_OK, Asked, Beat, Collector, Met
-from meadowworks.node.proxies import End, News, Told
+from meadowworks.node.messages import BEAT_OK, Asked, Beat, Collector, End, Met, News, Told
 
 
 async def serve(
@@ -18,18 +17,16 @@
     """The actor of one collector, until it ends."""
     logger.info("collector of {}: joined", collector.zone)
     try:
-        while True:
-            await mailbox.wait()
-            for item in mailbox.drain():
-                match item:
-                    case End(why):
-                        logger.info("collector of {}: gone, {}", collector.zone, why)
-                        return
-                    case Met() | Asked():
-                        module.put(item, report=True)
-                    case Beat():
-                        transport.write(BEAT_OK)
-                    case _:
-                        count("lines passed over: nothing the module reads")
+        async for item in mailbox.each():
+            match item:
+                case End(why):
+                    logger.info("collector of {}: gone, {}", collector.zone, why)
+                    return
+                case Met() | Asked():
+                    module.put(item, report=True)
+                case Beat():
+                    transport.write(BEAT_OK)
+                case _:
+                    count("lines passed over: nothing the module reads")
     finally:
         transport.abort()
--- a/meadowworks/node/controller.py
+++ b/meadowworks/node/controller.py
@@ -14,12 +14,23 @@
 from meadowworks.host import Entry
 from meadowworks.node import invariants
 from meadowworks.node.config import Config
-from meadowworks.node.discovery import ListFailed, ListNews, Track
 from meadowworks.node.invariants import count, holds
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import Asked, Listing, Met
+from meadowworks.node.messages import (
+    Asked,
+    Due,
+    End,
+    Joined,
+    Left,
+    ListFailed,
+    Listing,
+    Message,
+    Met,
+    News,
+    Told,
+    Track,
+)
 from meadowworks.node.orders import Orders
-from meadowworks.node.proxies import End, Joined, Left, Message, News, Told
 from meadowworks.rules import Controller
 
 SECOND = 1_000_000_000
@@ -37,14 +48,8 @@
         return time.monotonic_ns() + self.offset
 
 
-class Due:
-    """The module's one timer has come due."""
-
-
 class Node:
-    def __init__(
-        self, config: Config, mailbox: Mailbox[News | ListNews | Due], lists: Mailbox[Track]
-    ) -> None:
+    def __init__(self, config: Config, mailbox: Mailbox[News], lists: Mailbox[Track]) -> None:
         self.mailbox, self.lists = mailbox, lists
         self.zones, self.routes, self.proxies = config.zones, config.routes, config.proxies
         self.batch_ns = config.batch_ns
@@ -115,7 +120,7 @@
             count("faults in an event")
             logger.exception("fault while handling {}", what)
 
-    def happen(self, item: News | ListNews | Due) -> None:
+    def happen(self, item: News) -> None:
         match item:
             case Met(zone, backend, tries, bad, latency, covers, load):
                 if zone in self.zones and backend in self.places:
--- a/meadowworks/node/discovery.py
+++ b/meadowworks/node/discovery.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 import aiohttp
 from loguru import logger
 
 from meadowworks.node.invariants import count
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import Listing, read_listing
+from meadowworks.node.messages import ListFailed, Listing, News, Track, read_listing
 
 # A watch waits so long, of the time within which the settings want the list asked for. Short, so that a
 # connection that has gone silent is told soon; a watch that goes on costs discovery nothing.
@@ -24,23 +23,10 @@
 READ_S = 0.1  # a process that stood still reads what came in meanwhile before it gives a call up
 
 
-@dataclass(frozen=True, slots=True)
-class Track:
-    on: bool
-
-
-@dataclass(frozen=True, slots=True)
-class ListFailed:
-    why: str
-
-
-ListNews = Listing | ListFailed
-
-
 class Discovery:
     def __init__(
         self, address: str, index: int | None, ask_within_ns: int,
-        mailbox: Mailbox[Track], module: Mailbox[ListNews],
+        mailbox: Mailbox[Track], module: Mailbox[News],
     ) -> None:
         self.url = f"http://{address}/discovery/hosts"
         self.index: int | None = index
--- a/meadowworks/node/listener.py
+++ b/meadowworks/node/listener.py
@@ -16,8 +16,20 @@
 from meadowworks.node import collectors, proxies
 from meadowworks.node.invariants import count
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import BEAT_OK, LINE_MOST, Asked, Attach, Beat, Collector, Met, Spoken, decode
-from meadowworks.node.proxies import End, News, Told
+from meadowworks.node.messages import (
+    BEAT_OK,
+    LINE_MOST,
+    Asked,
+    Attach,
+    Beat,
+    Collector,
+    End,
+    Met,
+    News,
+    Spoken,
+    Told,
+    decode,
+)
 
 FIRST_LINE_MOST = 1 << 12  # a first line is short; many strangers must not fill the memory
 STRANGER_S = 10.0  # a peer names itself at once; one that has not by now will not
--- a/meadowworks/node/mailbox.py
+++ b/meadowworks/node/mailbox.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import AsyncIterator
 from typing import Generic, TypeVar
 
 from meadowworks.node.invariants import count, holds
@@ -34,6 +35,13 @@
     async def wait(self) -> None:
         await self.arrived.wait()
 
+    async def each(self) -> AsyncIterator[T]:
+        """What comes, one by one, for ever."""
+        while True:
+            await self.wait()
+            for item in self.drain():
+                yield item
+
     def drain(self) -> list[T]:
         items = [item for _, item in self.items]
         self.items.clear()
--- a/meadowworks/node/messages.py
+++ b/meadowworks/node/messages.py
@@ -1,6 +1,5 @@
-"""What is said on the sockets, as small frozen values: each line or answer is decoded once, encoded once.
-
-Whatever cannot be read raises ValueError; who reads it decides what that ends.
+"""What is said on the sockets and between the actors, as small frozen values: each line or answer is decoded
+once, encoded once. Whatever cannot be read raises ValueError; who reads it decides what that ends.
 """
 
 from __future__ import annotations
@@ -11,6 +10,8 @@
 from math import isfinite
 from typing import Any
 
+from meadowworks.node.mailbox import Mailbox
+
 MS = 1_000_000
 LINE_MOST = 1 << 20  # the protocol's limit for a message
 PARTS_MOST = 64  # and for its parts
@@ -97,7 +98,52 @@
         return self.full + len(self.lines) + (self.grant is not None)
 
 
+@dataclass(frozen=True, slots=True)
+class Message:
+    """What a batch orders of one proxy."""
+
+    parts: Sequence[Part]
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """The connection is over, or is to be ended."""
+
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Joined:
+    attach: Attach
+    stream: Mailbox[Told]
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    proxy: int
+    stream: Mailbox[Told]
+
+
+@dataclass(frozen=True, slots=True)
+class Track:
+    """Whether the list is to be followed."""
+
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ListFailed:
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    """The module's one timer has come due."""
+
+
 Spoken = Beat | Collector | Attach | Done | Met | Asked
+Told = Spoken | Message | End  # to the actor of a connection
+News = Joined | Left | Met | Asked | Listing | ListFailed | Due  # to the module's actor
 BEAT_OK = b"hb_ok\r\n"
 
 
--- a/meadowworks/node/proxies.py
+++ b/meadowworks/node/proxies.py
@@ -3,77 +3,59 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
-from dataclasses import dataclass
 
 from loguru import logger
 
 from meadowworks.node.invariants import count
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import BEAT_OK, PARTS_MOST, Asked, Attach, Beat, Met, Part, Spoken, encode
+from meadowworks.node.messages import (
+    BEAT_OK,
+    PARTS_MOST,
+    Asked,
+    Attach,
+    Beat,
+    End,
+    Joined,
+    Left,
+    Message,
+    Met,
+    News,
+    Told,
+    encode,
+)
 
 # Unsent bytes after which a proxy is held to read no more: many times what a queue at its cap holds.
 UNSENT_MOST = 1 << 18
 
 
-@dataclass(frozen=True, slots=True)
-class Joined:
-    attach: Attach
-    stream: Mailbox[Told]
-
-
-@dataclass(frozen=True, slots=True)
-class Left:
-    proxy: int
-    stream: Mailbox[Told]
-
-
-@dataclass(frozen=True, slots=True)
-class Message:
-    parts: Sequence[Part]
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """The connection is over, or is to be ended."""
-
-    why: str
-
-
-Told = Spoken | Message | End
-News = Joined | Left | Met | Asked
-
-
 async def serve(
     attach: Attach, transport: asyncio.Transport, mailbox: Mailbox[Told], module: Mailbox[News]
 ) -> None:
     """The actor of one stream, until it ends. The transport is its own."""
     module.put(Joined(attach, mailbox))
     try:
-        while True:
-            await mailbox.wait()
-            for item in mailbox.drain():
-                match item:
-                    case End(why):
-                        logger.info("proxy {}: stream over, {}", attach.proxy, why)
-                        return
-                    case Message(parts):
-                        if len(parts) > PARTS_MOST:
-                            count("parts beyond a message's most")
-                        transport.write(encode(parts))
-                    case Beat():
-                        transport.write(BEAT_OK)
-                    case Met() | Asked():
-                        module.put(item, report=True)
-                    case Attach():
-                        count("lines passed over: a second joining on one stream")
-                    case _:  # marks are never asked for, and a stream is no collector
-                        count("lines passed over: nothing the module reads")
-                if transport.get_write_buffer_size() > UNSENT_MOST:
-                    count("streams ended: proxy does not read")
-                    logger.warning("proxy {}: {} bytes unread, stream ended", attach.proxy,
-                                   transport.get_write_buffer_size())
+        async for item in mailbox.each():
+            match item:
+                case End(why):
+                    logger.info("proxy {}: stream over, {}", attach.proxy, why)
                     return
+                case Message(parts):
+                    if len(parts) > PARTS_MOST:
+                        count("parts beyond a message's most")
+                    transport.write(encode(parts))
+                case Beat():
+                    transport.write(BEAT_OK)
+                case Met() | Asked():
+                    module.put(item, report=True)
+                case Attach():
+                    count("lines passed over: a second joining on one stream")
+                case _:  # marks are never asked for, and a stream is no collector
+                    count("lines passed over: nothing the module reads")
+            if transport.get_write_buffer_size() > UNSENT_MOST:
+                count("streams ended: proxy does not read")
+                logger.warning("proxy {}: {} bytes unread, stream ended", attach.proxy,
+                               transport.get_write_buffer_size())
+                return
     finally:
         transport.abort()
         module.put(Left(attach.proxy, mailbox))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -11,7 +11,18 @@
 
 from meadowworks.node import listener, proxies
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import Attach, Beat, Met, decode, encode, listing
+from meadowworks.node.messages import (
+    Attach,
+    Beat,
+    Joined,
+    Left,
+    Met,
+    News,
+    Told,
+    decode,
+    encode,
+    listing,
+)
 from meadowworks.node.orders import Orders
 from meadowworks.settings import flatten, read
 from meadowworks.wirehost.wire import Instance
@@ -182,12 +193,12 @@
     monkeypatch.setattr(proxies, "UNSENT_MOST", 20)
 
     async def act() -> None:
-        slow, stream, module = Transport(), Mailbox[proxies.Told](9), Mailbox[proxies.News](9)
+        slow, stream, module = Transport(), Mailbox[Told](9), Mailbox[News](9)
         for _ in range(3):
             stream.put(Beat())
         await proxies.serve(Attach(2, "a", 1.0, True), cast(asyncio.Transport, slow), stream, module)
         assert slow.aborted
-        assert module.drain() == [proxies.Joined(Attach(2, "a", 1.0, True), stream), proxies.Left(2, stream)]
+        assert module.drain() == [Joined(Attach(2, "a", 1.0, True), stream), Left(2, stream)]
 
     asyncio.run(act())
 
@@ -196,7 +207,7 @@
     monkeypatch.setattr(listener, "STRANGER_S", 0.05)
 
     async def act() -> None:
-        server = await listener.Door(Mailbox[proxies.News](9), {"a"}, 64).open("127.0.0.1", 0)
+        server = await listener.Door(Mailbox[News](9), {"a"}, 64).open("127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         silent, named = await Peer().dial(port), await Peer().dial(port, "attach id=0 site=a rps=1 new=1")
         await silent.over()
