Assert and count in every actor, end who asks and does not read, count lines as the channel does

A message with more lines than the module took room for, or more parts or bytes than the protocol's, is a broken invariant now; a violated one in a peer's actor ends a debug build as one in the module's does. A peer that sends hb upon hb and reads nothing made the controller hold its answers without bound, strangers and collectors too: seen by reading listener.py, where only proxies' own messages were bounded; now bounded for all.

--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -26,10 +26,23 @@
 async def serve(config: Config) -> None:
     """Starts every actor, and ends when told to or when one of them fails."""
     loop = asyncio.get_running_loop()
+    end: asyncio.Future[None] = loop.create_future()
+
+    def fault(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What fails outside the main actors: in a peer's, in the loop, in the transports."""
+        trouble = context.get("exception")
+        if count("faults in the loop or a peer's actor"):
+            logger.opt(exception=trouble).error("fault: {}", context.get("message"))
+        if isinstance(trouble, AssertionError) and not end.done():  # never in a release
+            end.set_exception(trouble)
+
+    def told() -> None:
+        if not end.done():
+            end.set_result(None)
+
     loop.set_exception_handler(fault)
-    stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, told)
     module: Mailbox[News] = Mailbox(REPORTS_MOST)
     lists: Mailbox[Track] = Mailbox(LIST_MOST)
     node = Node(config, module, lists)
@@ -42,20 +55,15 @@
             logger.info("{}: serving on {}:{}", config.name, config.host, config.port)
             await server.serve_forever()
 
-    actors = [loop.create_task(actor) for actor in (node.run(), discovery.run(), listen(), stop.wait())]
-    done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
+    actors: list[asyncio.Future[None]] = [end]
+    actors += [loop.create_task(actor) for actor in (node.run(), discovery.run(), listen())]
+    ended, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
     node.summary()
-    for actor in done:
+    for actor in ended:
         actor.result()  # a failed actor ends the program with its fault
     logger.info("{}: told to end", config.name)
 
 
-def fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-    """What fails outside an actor, in the loop or the transports."""
-    if count("faults in the loop"):
-        logger.opt(exception=context.get("exception")).error("loop: {}", context.get("message"))
-
-
 def main() -> int:
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
--- a/meadowworks/node/controller.py
+++ b/meadowworks/node/controller.py
@@ -108,7 +108,7 @@
             self.guarded(lambda item=item: self.happen(item), item)  # type: ignore[misc]
         self.guarded(self.send, "orders")
         if self.now - self.told_ns >= SUMMARY_NS:
-            self.guarded(self.summary, "counters")
+            self.summary()
 
     def guarded(self, act: Callable[[], None], what: object) -> None:
         """A fault in one event ends a debug build; a release logs it, counts it and serves on."""
@@ -189,5 +189,9 @@
     def summary(self) -> None:
         self.told_ns = self.now
         memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+        try:
+            descriptors = str(len(os.listdir("/proc/self/fd")))
+        except OSError:  # not one left to look with
+            descriptors = "all"
         logger.info("counters: {}; {} proxies, {} descriptors, {} MB at most", invariants.summary(),
-                    len(self.streams), len(os.listdir("/proc/self/fd")), memory)
+                    len(self.streams), descriptors, memory)
--- a/meadowworks/node/listener.py
+++ b/meadowworks/node/listener.py
@@ -93,9 +93,9 @@
 
     def ended(self, task: asyncio.Task[None]) -> None:
         self.peers.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            count("faults in a peer's actor")
-            logger.opt(exception=task.exception()).error("a peer's actor failed; its connection is ended")
+        if not task.cancelled() and (trouble := task.exception()) is not None:
+            told = {"message": "a peer's actor failed; its connection is ended", "exception": trouble}
+            task.get_loop().call_exception_handler(told)
 
 
 class Connection(BaseProtocol):
@@ -140,6 +140,9 @@
             self.rest.clear()
             self.scanned = 0
             self.end()
+        if self.transport and self.transport.get_write_buffer_size() > proxies.UNSENT_MOST:
+            count("connections ended: asks and does not read")
+            self.end()
 
     def line(self, line: bytes) -> None:
         try:
--- a/meadowworks/node/orders.py
+++ b/meadowworks/node/orders.py
@@ -17,6 +17,7 @@
         self.full: set[int] = set()
         self.lines: dict[int, dict[int, float]] = {}
         self.grants: dict[int, Grant] = {}
+        self.counted = 0  # lines that the module has taken room for in the channel
 
 
 class Orders:
@@ -47,7 +48,9 @@
             del lines[backend]
         for proxy, bound in self.bound.items():
             if table in bound.values():
-                self.told(proxy).lines.setdefault(table, {})[backend] = weight
+                pending = self.told(proxy)
+                pending.lines.setdefault(table, {})[backend] = weight
+                pending.counted += 1
 
     def bind(self, routes: int, proxy: int, table: int) -> None:
         holds(proxy in self.bound, "no order to a proxy that has not joined")
@@ -58,6 +61,7 @@
         pending = self.told(proxy)
         pending.full.add(table)
         pending.lines[table] = dict(self.tables.get(table, {}))
+        pending.counted += 1 + len(pending.lines[table]) + len(self.grants.get(table, {}))
         for k in (k for k, its in bound.items() if its == table):  # a full table forgets levels
             pending.grants.pop(k, None)
             if k in self.grants.get(table, {}):
@@ -67,9 +71,10 @@
         chosen = self.chosen(routes)
         self.grants.setdefault(table, {}).update((k, (level, retry)) for k in chosen)
         for proxy, bound in self.bound.items():
-            for k in chosen:
-                if bound.get(k) == table:
-                    self.told(proxy).grants[k] = level, retry
+            if table in bound.values():
+                pending = self.told(proxy)
+                pending.counted += 1
+                pending.grants.update((k, (level, retry)) for k in chosen if bound.get(k) == table)
 
     def some(self, routes: Sequence[int]) -> tuple[str, ...]:
         """Routes by name; none stand for all."""
@@ -85,11 +90,13 @@
                 by_grant.setdefault(told.grants[k], []).append(k)
             grants = {tuple(routes): grant for grant, routes in by_grant.items()}
             parts = []
-            for table, lines in told.lines.items():
+            for table, changed in told.lines.items():
                 routes = tuple(k for k in range(len(self.routes)) if bound.get(k) == table)
                 if routes:
-                    named = tuple((self.names[place], weight) for place, weight in lines.items())
+                    named = tuple((self.names[place], weight) for place, weight in changed.items())
                     parts.append(Part(self.some(routes), table in told.full, named, grants.pop(routes, None)))
             parts += [Part(self.some(routes), False, (), grant) for routes, grant in grants.items()]
+            lines = sum(part.cost() for part in parts)
+            holds(lines <= told.counted, "no more lines to a proxy than were counted for it")
             if parts:
                 yield proxy, parts
--- a/meadowworks/node/proxies.py
+++ b/meadowworks/node/proxies.py
@@ -6,10 +6,11 @@
 
 from loguru import logger
 
-from meadowworks.node.invariants import count
+from meadowworks.node.invariants import count, holds
 from meadowworks.node.mailbox import Mailbox
 from meadowworks.node.messages import (
     BEAT_OK,
+    LINE_MOST,
     PARTS_MOST,
     Asked,
     Attach,
@@ -40,9 +41,9 @@
                     logger.info("proxy {}: stream over, {}", attach.proxy, why)
                     return
                 case Message(parts):
-                    if len(parts) > PARTS_MOST:
-                        count("parts beyond a message's most")
-                    transport.write(encode(parts))
+                    message = encode(parts)
+                    holds(len(parts) <= PARTS_MOST and len(message) <= LINE_MOST, "a message's most")
+                    transport.write(message)
                 case Beat():
                     transport.write(BEAT_OK)
                 case Met() | Asked():
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from typing import Any, cast
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from meadowworks.node import listener, proxies
+from meadowworks.node import discovery, listener, proxies
 from meadowworks.node.mailbox import Mailbox
 from meadowworks.node.messages import (
     Attach,
     Beat,
     Joined,
     Left,
+    Listing,
     Met,
     News,
     Told,
+    Track,
     decode,
     encode,
     listing,
@@ -188,6 +192,9 @@
     def abort(self) -> None:
         self.aborted = True
 
+    def get_extra_info(self, _: str) -> None:
+        return None
+
 
 def test_a_stream_that_is_not_read_is_ended_alone_and_left(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(proxies, "UNSENT_MOST", 20)
@@ -203,6 +210,49 @@
     asyncio.run(act())
 
 
+def test_a_stall_that_outlasts_a_calls_limit_loses_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "TURN_S", 0.0)
+
+    async def act() -> None:
+        near, far = socket.socketpair()
+        with near, far:
+            near.setblocking(False)
+            actor = discovery.Discovery("127.0.0.1:1", 1, 10_000_000, Mailbox[Track](1), Mailbox[News](1))
+
+            async def call(_: object) -> Listing:
+                await asyncio.get_running_loop().sock_recv(near, 1)
+                return Listing(2, False, ())
+
+            monkeypatch.setattr(actor, "call", call)
+            answer = asyncio.create_task(actor.timely(cast(Any, None)))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)  # the call waits
+            far.send(b"!")
+            time.sleep(10 * actor.wait_ms / 1000)  # the process stands still
+            assert (await answer).index == 2
+
+    asyncio.run(act())
+
+
+@pytest.mark.parametrize("first", [b"", b"telemetry site=a\r\n"])
+def test_who_asks_and_does_not_read_is_ended(monkeypatch: pytest.MonkeyPatch, first: bytes) -> None:
+    monkeypatch.setattr(proxies, "UNSENT_MOST", 20)
+
+    async def act() -> None:
+        door, slow = listener.Door(Mailbox[News](9), {"a"}, 64), Transport()
+        peer = listener.Connection(asyncio.get_running_loop(), door)
+        peer.connection_made(cast(asyncio.Transport, slow))
+        peer.data_received(first + b"hb\r\n")
+        assert not slow.aborted
+        for _ in range(9):
+            await asyncio.sleep(0)  # a collector's actor has its turn
+            peer.data_received(b"hb\r\n")
+        assert slow.aborted
+        peer.connection_lost(None)
+
+    asyncio.run(act())
+
+
 def test_who_says_nothing_for_long_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(listener, "STRANGER_S", 0.05)
 
