--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,7 +30,7 @@
 
 
 def test_it_answers_and_binds_from_its_known_list_while_discovery_says_nothing(tmp_path: Path) -> None:
-    desk = Desk(*THREE)
+    desk = Desk(*THREE, listed("s-7", "moon"))  # a zone that the settings lack is passed over
     desk.mood = "silent"
 
     async def act(program: Program) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import time
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from meadowworks.node import discovery, listener, proxies
+from meadowworks.node import controller, discovery, listener, proxies
+from meadowworks.node.config import load
 from meadowworks.node.mailbox import Mailbox
 from meadowworks.node.messages import (
     Attach,
@@ -30,7 +33,7 @@
 from meadowworks.node.orders import Orders
 from meadowworks.settings import flatten, read
 from meadowworks.wirehost.wire import Instance
-from tests.helpers import LANES, NESTED, Peer
+from tests.helpers import LANES, NESTED, Desk, Peer, Program
 
 NAMES = ["s-0", "s-1", "s-2"]
 ORDER = st.one_of(
@@ -253,6 +256,24 @@
     asyncio.run(act())
 
 
+def test_the_timer_neither_drifts_nor_piles_up_after_a_stall(tmp_path: Path) -> None:
+    program = Program(tmp_path, Desk())
+    (tmp_path / "config.json").write_text(json.dumps({**program.config, "discovery": "127.0.0.1:1"}))
+
+    async def act() -> None:
+        config = load({"NODE_CONFIG": str(tmp_path / "config.json")})
+        node = controller.Node(config, Mailbox[News](9), Mailbox[Track](9))
+        due, wait = node.due_ns, config.settings.report_ns
+        node.now = due + 1000  # a little late: the next is counted from when this one was due
+        node.wake_in(wait)
+        assert node.due_ns == due + wait
+        node.now = node.due_ns + 10 * wait
+        node.wake_in(wait)
+        assert node.due_ns == node.now + wait
+
+    asyncio.run(act())
+
+
 def test_who_says_nothing_for_long_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(listener, "STRANGER_S", 0.05)
 
