--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -456,9 +456,6 @@
         for view in self.views:
             view.lines = {p: line for p, line in view.lines.items() if line[2] > now}
         total = sum(rate for view in self.views for rate, _, _ in view.lines.values())
-        # What was answered lately can be again: guards against levels and views that feed on themselves.
-        weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
-        proven = -self.lowest(now, self.best, -total / weight) * weight
         for view in self.views:
             good = sum(rate for rate, _, _ in view.lines.values())
             if view.fresh and good > 0:
@@ -467,8 +464,11 @@
                 base = self.lowest(now, view.lows, latency)
                 cut = max(TOLERANCE * base, SLO_PART * self.slo_ns) / max(latency, 1)
                 view.calm = cut >= 1
-                old = (view.calls if view.calls >= 0 else CAP * total) * min(1.0, max(LEAST_CUT, cut))
-                view.calls = max(PROVEN * proven, min(CAP * total, old + GAIN * total))
+                old = view.calls if view.calls >= 0 else CAP * total
+                view.calls = min(CAP * total, old * min(1.0, max(LEAST_CUT, cut)) + GAIN * total)
+        # What was answered lately can be answered again: guards against a level that feeds on itself.
+        weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
+        proven = -self.lowest(now, self.best, -total / weight) * weight
         # Guards against one zone's jam that starves the others, and their ease that feeds it: while some are
         # jammed and others calm, these rise to their own views and those fall half way to theirs.
         heard = [v for v in self.views if v.calls >= 0]
