--- a/meadowworks/node/controller.py
+++ b/meadowworks/node/controller.py
@@ -117,8 +117,8 @@
         except Exception:
             if __debug__:
                 raise
-            count("faults in an event")
-            logger.exception("fault while handling {}", what)
+            if count("faults in an event"):
+                logger.exception("fault while handling {}", what)
 
     def happen(self, item: News) -> None:
         match item:
