End strangers at once with a word, take connections in one by one, read lines strictly

At fault: listener.Connection.line passed over what cannot be read for as long as it came; wait_for_name was put off by each hb; Door.come let the crowd push out whoever was oldest, asyncio accepted up to 512 before any was read; messages.whole and figure took underscores, other digits and any size; a stream's reports were not held to its own proxy, nor a collector's to its own zone. Now: reject and a close at the first line without sense and after 1.5 s in any case, connections taken one by one while descriptors are to be had, a peer ended after 8 unreadable lines in a row and never for a spoilt one.

--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -48,12 +48,12 @@
     node = Node(config, module, lists)
     index = config.known.index if config.known else None
     discovery = Discovery(config.discovery, index, config.settings.ask_within_ns, lists, module)
-    door = Door(module, config.zones, config.sockets)
+    door = Door(module, config.zones, config.proxies, config.sockets)
 
     async def listen() -> None:
-        async with await door.open(config.host, config.port) as server:
+        with await door.listen(config.host, config.port) as listening:
             logger.info("{}: serving on {}:{}", config.name, config.host, config.port)
-            await server.serve_forever()
+            await door.run(listening)
 
     actors: list[asyncio.Future[None]] = [end]
     actors += [loop.create_task(actor) for actor in (node.run(), discovery.run(), listen())]
--- a/meadowworks/node/collectors.py
+++ b/meadowworks/node/collectors.py
@@ -22,8 +22,10 @@
                 case End(why):
                     logger.info("collector of {}: gone, {}", collector.zone, why)
                     return
-                case Met() | Asked():
+                case Met(zone=collector.zone) | Asked():
                     module.put(item, report=True)
+                case Met():
+                    count("lines passed over: another zone's report")
                 case Beat():
                     transport.write(BEAT_OK)
                 case _:
--- a/meadowworks/node/controller.py
+++ b/meadowworks/node/controller.py
@@ -52,7 +52,7 @@
 class Node:
     def __init__(self, config: Config, mailbox: Mailbox[News], lists: Mailbox[Track]) -> None:
         self.mailbox, self.lists = mailbox, lists
-        self.zones, self.routes, self.proxies = config.zones, config.routes, config.proxies
+        self.zones, self.routes = config.zones, config.routes
         self.batch_ns = config.batch_ns
         self.clock = Clock()
         self.backends = Names()
@@ -146,9 +146,6 @@
                 self.module.tick(self.now)
 
     def joined(self, proxy: int, zone: str, usual: float, stream: Mailbox[Told]) -> None:
-        if zone not in self.zones or proxy >= self.proxies:
-            count("joinings refused: unknown zone or number")
-            return stream.put(End(f"zone {zone!r} or number {proxy} is not in the settings"))
         if proxy in self.streams:  # the old stream has not been seen to end; its end is no second leaving
             self.streams[proxy].put(End("replaced by a new one"))
             self.left(proxy)
--- a/meadowworks/node/messages.py
+++ b/meadowworks/node/messages.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import isfinite
@@ -147,10 +148,25 @@
 BEAT_OK = b"hb_ok\r\n"
 
 
+def reject(why: str) -> bytes:
+    """The last word to a connection that cannot become a peer."""
+    return f"reject reason={why.replace(' ', '_')}\r\n".encode()
+
+
+# What the protocol writes: plain digits. int() and float() would take underscores, signs, other scripts'
+# digits, nan, and figures of any length.
+WHOLE, FIGURE = re.compile(r"[0-9]{1,15}"), re.compile(r"[0-9]{1,15}(\.[0-9]{1,30})?([eE][+-]?[0-9]{1,2})?")
+KINDS = frozenset((b"hb", b"telemetry", b"attach", b"done", b"upstream_stats", b"client_stats"))
+
+
+class Unreadable(ValueError):
+    """No message of the protocol at all, as against a message with a field spoilt."""
+
+
 def figure(text: str) -> float:
-    value = float(text)
+    value = float(text) if FIGURE.fullmatch(text) else -1.0
     if not isfinite(value) or value < 0:
-        raise ValueError(f"a figure out of range: {text!r}")
+        raise ValueError(f"no figure: {text[:40]!r}")
     return value
 
 
@@ -159,15 +175,36 @@
 
 
 def whole(text: str) -> int:
-    value = int(text)
-    if value < 0:
-        raise ValueError(f"a number below 0: {text!r}")
-    return value
+    if not WHOLE.fullmatch(text):
+        raise ValueError(f"no whole number: {text[:40]!r}")
+    return int(text)
+
+
+def yes(text: str) -> bool:
+    if text not in ("0", "1"):
+        raise ValueError(f"neither yes nor no: {text[:40]!r}")
+    return text == "1"
+
+
+def pairs(words: Sequence[str], between: str) -> dict[str, str]:
+    """Names and values. A name told twice makes no sense, whichever of the two is meant."""
+    says = dict(word.partition(between)[::2] for word in words)
+    if len(says) < len(words) or not all(between in word for word in words):
+        raise ValueError(f"no {between!r} between a name and its value, or a name twice")
+    return says
+
+
+def strange(start: bytes) -> bool:
+    """Whether this is no beginning of a message, however it goes on."""
+    return start.partition(b" ")[0].rstrip(b"\r\n") not in KINDS
 
 
 def decode(line: bytes) -> Spoken:
-    kind, *words = line.decode("utf-8").split()
-    says = dict(word.partition("=")[::2] for word in words)
+    """Raises Unreadable for what is no message, ValueError for one that has a field spoilt."""
+    if strange(line):
+        raise Unreadable(f"unknown kind {line[:40]!r}")
+    kind, *words = line.decode("utf-8").rstrip("\r").split(" ")
+    says = pairs(words, "=")
     try:
         match kind:
             case "hb":
@@ -176,7 +213,7 @@
                 return Collector(says["site"])
             case "attach":
                 return Attach(whole(says["id"]), says["site"], figure(says.get("rps", "0")),
-                              says.get("new") == "1")
+                              yes(says.get("new", "0")))
             case "done":
                 return Done(whole(says["id"]), whole(says["seq"]))
             case "upstream_stats":
@@ -184,15 +221,20 @@
                 if bad > tries:
                     raise ValueError(f"{bad} of {tries} tries failed")
                 latency = span(says.get("mean", "0") if bad == tries else says["mean"])
-                pairs = (pair.partition(":") for pair in says.get("util", "").split(",") if pair)
-                return Met(says["site"], says["target"], tries, bad, latency, span(says["over"]),
-                           {name: figure(value) for name, _, value in pairs})
-            case "client_stats":
+                load = pairs(says["util"].split(","), ":") if says.get("util") else {}
+                return Met(says["site"], says["target"], tries, bad, latency, covered(says["over"]),
+                           {name: figure(value) for name, value in load.items()})
+            case _:
                 return Asked(whole(says["id"]), says["lane"], whole(says["count"]), whole(says["fail"]),
-                             span(says["over"]))
+                             covered(says["over"]))
     except KeyError as missing:
         raise ValueError(f"{kind} without {missing}") from missing
-    raise ValueError(f"unknown kind {kind[:40]!r}")
+
+
+def covered(text: str) -> int:
+    if not (found := span(text)):
+        raise ValueError("a report that covers no time")
+    return found
 
 
 def plain(value: float) -> str:
--- a/meadowworks/node/proxies.py
+++ b/meadowworks/node/proxies.py
@@ -46,10 +46,10 @@
                     transport.write(message)
                 case Beat():
                     transport.write(BEAT_OK)
-                case Met() | Asked():
+                case Asked(proxy=attach.proxy):
                     module.put(item, report=True)
-                case Attach():
-                    count("lines passed over: a second joining on one stream")
+                case Met() | Asked() | Attach():  # what the backends met comes by collectors, and of others
+                    count("lines passed over: not a stream's own")
                 case _:  # marks are never asked for, and a stream is no collector
                     count("lines passed over: nothing the module reads")
             if transport.get_write_buffer_size() > UNSENT_MOST:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -174,24 +174,38 @@
     play(act, tmp_path, Desk(*THREE))
 
 
-def test_strangers_beyond_all_descriptors_leave_room_for_peers(tmp_path: Path) -> None:
+@pytest.mark.parametrize("first", [b"", b"upstream_st", b"hb\r\n"])
+def test_a_crowd_beyond_all_descriptors_costs_no_proxy_its_place(tmp_path: Path, first: bytes) -> None:
     async def act(program: Program) -> None:
-        crowd: list[Peer] = []
-        while len(crowd) < 120:  # each is taken in before the next: asyncio accepts all that wait at once
-            crowd.append(await program.peer("hb"))
-            await crowd[-1].until(beaten)
         east = await program.proxy(0)
         await east.until(holds("s-1", "s-2"))
-        assert len(crowd) == 120 and "out of system resource" not in program.log()
+        crowd = [await program.peer() for _ in range(150)]  # all at once, into the backlog if need be
+        for peer in crowd:
+            peer.writer.write(first)
+        west = await program.proxy(1, "west")
+        await west.until(holds("s-9"))
+        for peer in crowd:
+            await peer.over()
+        east.say("hb")
+        await east.until(beaten)
+        assert "could not be taken" not in program.log()
 
     play(act, tmp_path, Desk(*THREE), sockets=64)
 
 
-def test_joinings_that_make_no_sense_are_ended(tmp_path: Path) -> None:
+@pytest.mark.parametrize("said", [
+    b"\x16\x03\x01\x02\r\n", b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"y" * (1 << 14), b"\r\n",
+    b"assign full=1 endpoints=s-1:1\r\n", b"client_stats id=0 lane=look count=1 fail=0 over=1000\r\n",
+    b"upstream_stats site=east target=s-1 count=2 fail=0 mean=3 over=1000\r\n", b"done id=0 seq=1 ms=1\r\n",
+    b"attach id=0 site=moon rps=1 new=1\r\n", b"attach id=4 site=east rps=1 new=1\r\n",
+    b"attach id=x site=east rps=1 new=1\r\n", b"telemetry site=moon\r\n"])
+def test_a_stranger_without_sense_is_told_so_and_ended_at_once(tmp_path: Path, said: bytes) -> None:
     async def act(program: Program) -> None:
-        for line in ("attach id=0 site=moon rps=1 new=1", "attach id=4 site=east rps=1 new=1",
-                     "telemetry site=moon"):
-            await (await program.peer(line)).over()
+        client = await program.peer("hb")
+        await client.until(beaten)
+        client.writer.write(said)
+        assert (await client.reader.readuntil(b"\r\n")).startswith(b"reject")
+        await client.over()
 
     play(act, tmp_path, Desk(*THREE))
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -26,6 +26,7 @@
     News,
     Told,
     Track,
+    Unreadable,
     decode,
     encode,
     listing,
@@ -243,7 +244,7 @@
     monkeypatch.setattr(proxies, "UNSENT_MOST", 20)
 
     async def act() -> None:
-        door, slow = listener.Door(Mailbox[News](9), {"a"}, 64), Transport()
+        door, slow = listener.Door(Mailbox[News](9), {"a"}, 4, 64), Transport()
         peer = listener.Connection(asyncio.get_running_loop(), door)
         peer.connection_made(cast(asyncio.Transport, slow))
         peer.data_received(first + b"hb\r\n")
@@ -275,16 +276,63 @@
     asyncio.run(act())
 
 
-def test_who_says_nothing_for_long_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("line", [
+    "client_stats id=1_0 lane=a count=1 fail=0 over=1", "client_stats id=\u0661 lane=a count=1 fail=0 over=1",
+    "client_stats id=0 lane=a count=+1 fail=0 over=1", "client_stats id=0 lane=a count=1.5 fail=0 over=1",
+    "client_stats id=0 lane=a count=1 fail=0 over=0", "client_stats id=0 lane=a count=1 fail=0 over=nan",
+    "client_stats id=0 lane=a count=1 fail=0 over=1 count=2", "client_stats id=0 lane=a count fail=0 over=1",
+    "client_stats id=0 lane=a count=1 fail=0 over=" + "9" * 400, "client_stats id=0 lane=a count=1 fail=0",
+    "upstream_stats site=a target=b count=1 fail=0 mean=-1 over=1000",
+    "upstream_stats site=a target=b count=1 fail=0 mean=2 over=1000 util=queue",
+    "upstream_stats site=a target=b count=1 fail=0 mean=2 over=1000 util=queue:1,queue:2",
+    "attach id=0 site=a rps=1e999 new=1", "attach id=0 site=a rps=1 new=maybe", "done id=0 seq=x ms=1"])
+def test_a_field_spoilt_is_told_from_what_is_no_message(line: str) -> None:
+    with pytest.raises(ValueError) as found:
+        decode(line.encode())
+    assert not isinstance(found.value, Unreadable)
+    with pytest.raises(Unreadable):
+        decode(b"x" + line.encode())
+
+
+def door(**options: float) -> tuple[listener.Door, Mailbox[News]]:
+    module: Mailbox[News] = Mailbox(99)
+    return listener.Door(module, {"a"}, 4, int(options.get("sockets", 64))), module
+
+
+@pytest.mark.parametrize("first", ["", "hb\r\n", "telem"])
+def test_who_does_not_join_in_time_is_ended(monkeypatch: pytest.MonkeyPatch, first: str) -> None:
     monkeypatch.setattr(listener, "STRANGER_S", 0.05)
 
     async def act() -> None:
-        server = await listener.Door(Mailbox[News](9), {"a"}, 64).open("127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        silent, named = await Peer().dial(port), await Peer().dial(port, "attach id=0 site=a rps=1 new=1")
-        await silent.over()
-        named.say("hb")
-        await named.until(lambda peer: peer.beats == 1)
-        server.close()
+        here, _ = door()
+        with await here.listen("127.0.0.1", 0) as listening:
+            serving = asyncio.create_task(here.run(listening))
+            port = listening.getsockname()[1]
+            idle, named = await Peer().dial(port), await Peer().dial(port, "attach id=0 site=a rps=1 new=1")
+            idle.writer.write(first.encode())
+            if first.startswith("hb"):
+                await idle.until(lambda peer: peer.beats == 1)
+            await idle.over()
+            named.say("hb")
+            await named.until(lambda peer: peer.beats == 1)
+            serving.cancel()
+
+    asyncio.run(act())
+
+
+def test_a_peer_is_ended_for_what_goes_on_unread_and_not_for_lines_spoilt() -> None:
+    async def act() -> None:
+        here, module = door()
+        for rubbish in (b"\x00\xff what\r\n" * listener.UNREADABLE_MOST, b"\x00\xff" * listener.STRANGE_MOST):
+            peer, line = listener.Connection(asyncio.get_running_loop(), here), Transport()
+            peer.connection_made(cast(asyncio.Transport, line))
+            peer.data_received(b"attach id=2 site=a rps=1 new=1\r\n")
+            for _ in range(2 * listener.UNREADABLE_MOST):
+                peer.data_received(b"client_stats id=2 lane=a count=x fail=0 over=1000\r\n\x00\r\n")
+                peer.data_received(b"client_stats id=2 lane=a count=1 fail=0 over=1000\r\n")
+            assert not line.aborted and not line.unread
+            peer.data_received(rubbish)
+            assert line.aborted
+            peer.connection_lost(None)
 
     asyncio.run(act())
