Count demand as calls that fade with time, not as the mean of what lines cover

Checked: a trace of the estimate beside the sockets: real demand 93 calls a second at a controller, believed 150 to 185. A proxy with a call every few seconds sends a line only when there was one, and a line covers 3 s at most: the mean of calls over cover is up to twice too high (mean cover 1.85 s, mean gap 2.67 s). At fault: rules.Controller.asked. The same lines kept the demand of a proxy that was cut off for ever. Now: what came fades by half in a report's time or what its line covers.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -1,8 +1,7 @@
 """All decisions of a meadowworks controller.
 
-An adapter builds one `Controller` for each instance, hands it a host (`meadowworks/host.py` holds that and
-all types) and calls one method for each thing that happens, with the clock in nanoseconds. The controller
-acts by calling the host; whatever it orders while one call is handled leaves together.
+An adapter builds a `Controller`, hands it a host (`meadowworks/host.py` holds that and all types) and calls
+one method for each thing that happens, with the clock in nanoseconds. It acts by calling the host.
 """
 
 from __future__ import annotations
@@ -38,7 +37,7 @@
 ASK_PART, ASK_MOST = 0.05, 0.4  # waits after a list call failed, of the time to ask within: first, longest
 
 RECHECK = 4.0  # one that the list calls gone, though it answers, is looked at after so many reports
-HALF_REPORTS = 2.0  # what was heard of a backend counts half after so many reports
+HALF_REPORTS, LN2 = 2.0, 0.6931  # what was heard counts half after so many reports; its sum over that time
 LEAST_TRIES = 6.0  # heard before a verdict
 ILL, DEAD = 0.15, 0.6  # dropped share above the fleet's median that costs a rung, or all of them
 LEAST_QUEUE = 2.0  # with fewer calls waiting a server is not the one that dawdles, a stalled proxy may be
@@ -84,7 +83,7 @@
     usual: float
     bound: bool = False
     sent: deque[int] = field(default_factory=deque)  # when messages went to it, newest last
-    asked: dict[int, float] = field(default_factory=dict)  # calls a second by route
+    asked: dict[int, tuple[float, float]] = field(default_factory=dict)  # by route: calls a second, half-life
 
 
 @dataclass(slots=True)
@@ -144,8 +143,8 @@
         heapq.heappush(self.due, (when_ns, self.count, act))
 
     def take(self, now: int, users: Sequence[Proxy], lines: int, keep: float, rest: int = -1) -> int:
-        """Takes room for so many lines to each user, and leaves some to dearer orders: guards the queue
-        and the cap on messages. With a rest, a part of them will do, and of the rest what usual room has."""
+        """Takes room for so many lines to each user, and leaves some to dearer orders: guards the queue and
+        the cap on messages. With a rest, a part of them will do, and of the rest what usual room has."""
         gone, self.queue_ns = (now - self.queue_ns) / SECOND * self.set.channel_rate, now
         self.queue = [max(0.0, q - gone * trust) for q, trust in zip(self.queue, CHANNEL_TRUST, strict=True)]
         fresh = [p for p in users if not p.sent or p.sent[-1] != now]  # others have a message in this reply
@@ -193,8 +192,7 @@
         self.settle(now)
 
     def hold(self, place: int, again: bool = False) -> None:
-        """Lets go of a backend that the list calls gone, at once where that binds, else once it is silent.
-        Guards against a wrong list: a probe asks the backend itself, or else the ladder tells."""
+        """Lets go of what the list calls gone: where that does not bind, once a probe or the ladder tells."""
         b = self.backends[place]
         if not b.ready or b.lost != again:
             return
@@ -230,11 +228,9 @@
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
 
     def balance(self, now: int) -> None:
-        """Finds the zones whose servers have less room than their calls' fair share, and where there is more.
-
-        Exception to the zone tables, between them and the table of all: guards against a zone that loses some
-        of its servers, has only cold or suspect ones, or meets far more calls than the others. What others'
-        proxies ask is taken to go as ours where they are dealt by chance, else by listed weight."""
+        """Exception to the zone tables: guards against a zone that loses servers, has cold or suspect ones or
+        meets far more calls than the others. What others' proxies ask is taken to go as ours where they are
+        dealt by chance, else by listed weight."""
         own = (now - self.born_ns >= FRESH_NS) / (self.set.controllers if self.set.by_zone else 1)
         room, listed, asked = ([least] * self.set.zones for least in (0.0, 1e-9, 1e-9))
         waits: list[list[float]] = [[] for _ in room]
@@ -246,7 +242,7 @@
         for view, queues in zip(self.views, waits, strict=True):
             view.crowd = sum(queues) / max(1, len(queues))
         for proxy in self.proxies.values():
-            asked[proxy.zone] += sum(proxy.asked.values()) or proxy.usual
+            asked[proxy.zone] += sum(rate for rate, _ in proxy.asked.values()) or proxy.usual
         if not sum(room):
             return
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(len(room))]
@@ -267,9 +263,7 @@
             view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(spare, room, strict=True)]
 
     def poor(self, zone: int, far: int) -> bool:
-        """Whether the way from a zone to another is worse than within, while the servers there are not full.
-
-        Guards against a slow or lossy link. The evidence fades, and the way is tried again."""
+        """Guards against a slow or lossy link: worse than within, while the servers there are not full."""
         home, away = self.views[zone].ways.get(zone, Met()), self.views[zone].ways.get(far, Met())
         if min(home.tries, away.tries) < LEAST_TRIES or self.views[far].crowd >= LEAST_QUEUE:
             return False
@@ -387,8 +381,10 @@
     def asked(self, now: int, number: int, route: int, calls: int, dropped: int, covers_ns: int) -> None:
         proxy = self.proxies.get(number)
         if proxy is not None and covers_ns > 0:
-            rate = calls * SECOND / covers_ns
-            proxy.asked[route] = (rate + proxy.asked.get(route, rate)) / 2
+            # Counts fade with time: no line tells of long idle time, nor of a proxy that is cut off.
+            half = float(max(self.set.report_ns, covers_ns))
+            old = proxy.asked.get(route, (calls * (SECOND / covers_ns - LN2 * SECOND / half), 0))[0]
+            proxy.asked[route] = old + calls * LN2 * SECOND / half, half
 
     # -- the one timer
 
@@ -397,6 +393,8 @@
         if now - self.ticked_ns > STALL_TICKS * self.tick_ns:
             self.blind_ns = now  # it stood still, and may again: what happens next is heard late
             self.host.record("stood still")
+        for p in self.proxies.values():
+            p.asked = {k: (r * 2 ** ((self.ticked_ns - now) / h), h) for k, (r, h) in p.asked.items()}
         self.ticked_ns = now
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
@@ -410,18 +408,16 @@
     # -- health
 
     def judge(self, now: int) -> None:
-        """Moves each backend down the rungs while it drops or dawdles far more than the fleet, and up again.
-
-        One ladder answers a slow machine, quick errors, hanging and silence. If all are ill, none is. One
-        that reports a queue is full, not ill: judged by latency, a rung at a time, unless it answers nothing.
-        It can harm where the rest has no room for what a suspect gives up."""
+        """Moves each backend down the rungs while it drops or dawdles far more than the fleet, and up again:
+        slow machines, quick errors, hanging, silence. If all are ill, none is. One that reports a queue is
+        full, not ill: judged by latency, a rung at a time, unless it answers nothing."""
         for b in self.backends.values():  # what is no longer heard fades too, or a silent suspect stays one
             b.met.add(now, self.half_ns, 0, 0, 0)
         heard = [b.met for b in self.backends.values() if b.ready and b.met.tries >= LEAST_TRIES]
         usual = median(m.bad / m.tries for m in heard) if heard else 0.0
         waits = [m.spent / (m.tries - m.bad) for m in heard if m.tries - m.bad >= 1]
         slow = max(SLOW * median(waits), SLO_PART * self.slo_ns) if waits else 0.0
-        wait = int(VERDICT_REPORTS * self.set.report_ns) + self.set.delay_most_ns
+        wait = VERDICT_REPORTS * self.set.report_ns + self.set.delay_most_ns
         for place, b in self.backends.items():
             share = b.met.bad / b.met.tries - usual if b.met.tries >= LEAST_TRIES else 0.0
             silent = b.met.bad > SILENT * b.met.tries
@@ -483,7 +479,8 @@
     def spend(self, now: int) -> None:
         """One budget over all routes, the more important first; levels go out on change."""
         routes = self.set.routes
-        asked = [sum(p.asked.get(k, 0.0) for p in self.proxies.values()) + 1e-9 for k in range(len(routes))]
+        each = [[p.asked.get(k, (0.0, 0))[0] for p in self.proxies.values()] for k in range(len(routes))]
+        asked = [sum(rates) + 1e-9 for rates in each]
         self.slo_ns = sum(a * r.slo_ns for a, r in zip(asked, routes, strict=True)) / sum(asked)
         budgets = self.estimate(now)
         if now - self.born_ns < FRESH_NS or min(budgets) < 0:
@@ -498,8 +495,8 @@
                 for k in same:
                     view.grants[k] = round(level / LEVEL_STEP) * LEVEL_STEP, 1
                     if self.set.level_kind == "rate":  # calls a second at each proxy
-                        busiest = max((p.asked.get(k, 0.0) for p in self.proxies.values()), default=0.0)
-                        view.grants[k] = OPEN_RATE if level >= 1 else float(f"{level * busiest:.1g}") + 1, 1
+                        most = level * max(each[k], default=0.0)
+                        view.grants[k] = OPEN_RATE if level >= 1 else float(f"{most:.1g}") + 1, 1
 
     # -- sites with slices: no tuning, no rule broken
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -353,3 +353,15 @@
         fleet.report({b: 0.5 for b in range(41)})
         fleet.run(0.5)
     assert 40 not in fleet.tables[0]
+
+
+def test_demand_of_many_small_proxies_is_neither_swollen_nor_kept_when_they_fall_silent() -> None:
+    fleet = started(proxies=40)
+    for turn in range(40):  # each proxy has a call every 4 s; lines cover but the last of that time
+        for p in range(turn % 8, 40, 8):
+            fleet.module.asked(fleet.now, p, 0, 1, 0, SECOND)
+        fleet.run(0.5)
+    asked = sum(p.asked[0][0] for p in fleet.module.proxies.values())
+    assert 0.8 < asked / 10 < 1.25
+    fleet.run(8)
+    assert sum(p.asked[0][0] for p in fleet.module.proxies.values()) < 0.05 * asked
