Split a zone's proxies over tables where they outnumber the connections servers accept

Checked: tries and drops by server beside its weight and its state: servers of one kind dropped 40 to 55% while ready and in the table, from the first ten seconds, with no call waiting (crowd 0); the others nothing. The settings say that the smallest accept 35 connections; 75 proxies a zone hold a connection to each server of their table. Drained servers and late reports were ruled out: few tries went to servers that were not ready. At fault: rules.wanted, one table a zone whatever the number of proxies. An order costs the channel the proxies of one split only.

--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -48,7 +48,7 @@
     node = Node(config, module, lists)
     index = config.known.index if config.known else None
     discovery = Discovery(config.discovery, index, config.settings.ask_within_ns, lists, module)
-    door = Door(module, config.zones, config.proxies, config.sockets)
+    door = Door(module, config.zones, config.settings.proxies, config.sockets)
 
     async def listen() -> None:
         with await door.listen(config.host, config.port) as listening:
--- a/meadowworks/host.py
+++ b/meadowworks/host.py
@@ -24,6 +24,8 @@
 class Settings:
     routes: tuple[Route, ...]
     zones: int
+    proxies: int  # of all controllers
+    connections: float  # that the smallest backends accept; 0: not told
     controllers: int
     by_zone: bool  # proxies join a controller of their own zone; else they are dealt by chance
     subscribe: bool
--- a/meadowworks/node/config.py
+++ b/meadowworks/node/config.py
@@ -27,7 +27,6 @@
     settings: Settings
     zones: dict[str, int]
     routes: dict[str, int]
-    proxies: int  # they are numbered from 0
     batch_ns: int  # batches for the module come at most this often
 
 
@@ -67,12 +66,12 @@
         raise Missing(f"known cannot be read: {trouble}") from trouble
     limits = flatten({"limits": given.get("limits")})
     try:
-        proxies, batch_us = round(figure(flat["extra.proxy_count"])), round(figure(flat.get("tick_us", "0")))
+        batch_us = round(figure(flat.get("tick_us", "0")))
         sockets = round(figure(limits.get("limits.sockets", str(SOCKETS))))
-    except (KeyError, ValueError) as trouble:
-        raise Missing(f"extra.proxy_count, tick_us or limits.sockets: missing or bad: {trouble}") from trouble
+    except ValueError as trouble:
+        raise Missing(f"tick_us or limits.sockets: missing or bad: {trouble}") from trouble
     return Config(
         name=text("name"), host=host, port=int(port), discovery=text("discovery"),
         seed=zlib.crc32(str(given.get("seed", "")).encode()), sockets=sockets, known=known,
-        settings=settings, zones=zones, routes=routes, proxies=proxies, batch_ns=batch_us * 1000,
+        settings=settings, zones=zones, routes=routes, batch_ns=batch_us * 1000,
     )
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -9,17 +9,16 @@
 import heapq
 import zlib
 from collections import deque
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from statistics import median
 
 from meadowworks.host import Entry, Host, Settings
 
 SECOND = 1_000_000_000
-# The design's own figures (docs/design.md): tolerance and clamp of a view, its gain and its cap.
-TOLERANCE, LEAST_CUT, GAIN, CAP = 2.0, 0.5, 0.1, 2.0
-SLO_PART = 0.5  # latency under this part of the SLO time is none to throttle for, whatever the baseline
-WINDOW_NS = 30 * SECOND  # over which the baseline is the lowest heard latency
+TOLERANCE, LEAST_CUT, GAIN, CAP = 2.0, 0.5, 0.1, 2.0  # the design's (docs/design.md): of a view
+# Latency under this part of the SLO time is none to throttle for; the baseline is the lowest of this window.
+SLO_PART, WINDOW_NS = 0.5, 30 * SECOND
 JAM, CALM = (0.08, 0.02), 3.0  # dropped share that jams a zone, and ends it; times as much if none is avoided
 PROVEN, PROVEN_CALM = 0.4, 0.8  # parts of the best throughput that a budget keeps; the latter in calm
 FLOOR, LEVEL_STEP, LINE_STEP = 0.1, 0.05, 0.1  # the least level; the least moves of a level and of a weight
@@ -27,32 +26,28 @@
 OPEN_RATE = 1e6  # calls a second at a proxy that stand for an open level where levels are rates
 SPILL_AT, SPILL_STEP, CROWD = 0.85, 0.1, 1.0  # part of its fair room, and calls waiting, to send some abroad
 NET, NET_MOST = 2.0, 0.25  # weight abroad beside cold servers, as a part of theirs, and of a table's
+# Part of the connections servers accept that a zone's proxies may take; a split's least servers and weight.
+CONNECTIONS, LEAST_LINES, SPLIT_LEAST = 0.8, 3, 0.75
 # A new server enters at a tenth and rises in these steps of its cold time, to a part of the least it can do.
 ENTRY, RAMP, RAMP_PART = 0.1, (0.1, 0.25, 0.45, 0.7, 0.9), 0.9
 
 TICKS_A_REPORT, STALL_TICKS = 2, 3  # half a report is the longest wait for news; a turn this late was held up
-# Parts of its rate that the channel is trusted with: by urgent orders, for a while; by the rest, for long.
-CHANNEL_TRUST = 0.5, 0.33
+CHANNEL_TRUST = 0.5, 0.33  # of its rate: by urgent orders, for a while; by the rest, which may go on for long
 KEEP_DRAIN, KEEP_JOIN, KEEP_USUAL = 0.1, 0.3, 0.5  # parts of the caps that orders of a kind leave free
 ASK_PART, ASK_MOST = 0.05, 0.4  # waits after a list call failed, of the time to ask within: first, longest
 
-RECHECK = 4.0  # one that the list calls gone, though it answers, is looked at after so many reports
 HALF_REPORTS, LN2 = 2.0, 0.6931  # what was heard counts half after so many reports; its sum over that time
-LEAST_TRIES = 6.0  # heard before a verdict
 ILL, DEAD = 0.15, 0.6  # dropped share above the fleet's median that costs a rung, or all of them
-LEAST_QUEUE = 2.0  # with fewer calls waiting a server is not the one that dawdles, a stalled proxy may be
+LEAST_TRIES, LEAST_QUEUE = 6.0, 2.0  # heard before a verdict; with less waiting a server is not what dawdles
 SLOW = 1.7  # times the fleet's median latency that costs a rung, if it is too near the SLO time as well
-RUNGS = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1, 0.01)  # parts of its listed weight that a suspect keeps
-LAST = len(RUNGS) - 1
-VERDICT_REPORTS = 5.0  # a verdict waits so many reports (and an order's way) to hear what the last did
+RUNGS, LAST = (1.0, 0.7, 0.5, 0.35, 0.2, 0.1, 0.01), 6  # parts of its listed weight that a suspect keeps
+# Reports until a verdict has shown (and an order's way), a rung is won back, one called gone is looked at.
+VERDICT_REPORTS, CLIMB_REPORTS, RECHECK = 5.0, 8.0, 4.0
 SILENT, HASTE = 0.95, 0.2  # dropped share of one that answers nothing, and its part of that wait
-CLIMB_REPORTS = 8.0  # a rung is won back after so many
 
 
 @dataclass(slots=True)
-class Met:
-    """Tries of late, fading."""
-
+class Met:  # tries of late, fading
     tries: float = 0.0
     bad: float = 0.0
     spent: float = 0.0  # latency of the good ones, summed
@@ -69,6 +64,7 @@
     zone: int
     weight: float
     since_ns: int
+    split: int  # of its zone
     ready: bool = False
     lost: bool = False  # held although the list lacks it, see hold()
     rung: int = 0
@@ -80,16 +76,15 @@
 @dataclass(slots=True)
 class Proxy:
     zone: int
-    usual: float
+    weight: float  # its usual calls a second
+    split: int
     bound: bool = False
     sent: deque[int] = field(default_factory=deque)  # when messages went to it, newest last
     asked: dict[int, tuple[float, float]] = field(default_factory=dict)  # by route: calls a second, half-life
 
 
 @dataclass(slots=True)
-class View:
-    """What one zone of proxies makes of the backends all together."""
-
+class View:  # what one zone of proxies makes of the backends all together
     calls: float = -1.0  # under 0: nothing heard yet
     lows: deque[tuple[int, float]] = field(default_factory=deque)  # (when, latency), see lowest()
     lines: dict[int, tuple[float, float, int]] = field(default_factory=dict)  # good a second, latency, until
@@ -116,12 +111,14 @@
         usual = [k for k in range(len(settings.routes)) if k not in homes]
         # One table a zone; routes confined to their zone have another beside it, never filled from outside.
         self.groups = [(sum(1 << k for k in part), part is homes) for part in (usual, homes) if part]
-        self.tables: list[dict[int, float]] = [{} for _ in range(settings.zones * len(self.groups))]
+        held = CONNECTIONS * settings.connections * settings.zones or settings.proxies or 1
+        self.splits = max(1, -int(-settings.proxies // held))
+        self.paced = [-SECOND] * (settings.zones * self.splits)
+        self.tables: list[dict[int, float]] = [{} for _ in self.paced for _ in self.groups]
         self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in self.tables]
         self.views = [View() for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, -throughput of a weight), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
-        self.paced = [-SECOND] * settings.zones
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.queue, self.queue_ns = [0.0, 0.0], now_ns
         self.slices: dict[int, dict[int, float]] = {}
@@ -132,8 +129,6 @@
         if settings.subscribe:
             host.track(True)
 
-    # -- chance, due times, the channel
-
     def chance(self) -> float:
         self.count += 1
         return zlib.crc32(f"{self.seed}:{self.count}".encode()) / 2**32
@@ -167,8 +162,6 @@
             proxy.sent.append(now)
         return lines + rest
 
-    # -- the list
-
     def listed(self, now: int, how: str, entries: Sequence[Entry]) -> None:
         if how == "error":  # the old list stands; ask again, each time later and never all at once
             wait = min(ASK_MOST, ASK_PART * 2**self.failures) * self.set.ask_within_ns
@@ -181,7 +174,10 @@
                 if place not in named:
                     self.hold(place)
         for entry in entries:
-            known = self.backends.setdefault(entry.backend, Backend(entry.zone, entry.weight, entry.since_ns))
+            if entry.backend not in self.backends:
+                split = self.lightest(entry.zone, [b for b in self.backends.values() if b.ready])
+                self.backends[entry.backend] = Backend(entry.zone, entry.weight, entry.since_ns, split)
+            known = self.backends[entry.backend]
             if entry.since_ns > known.since_ns:  # a start, under whatever name: what was known is void
                 known.since_ns, known.rung, known.met = entry.since_ns, 0, Met()
             known.zone, known.weight = entry.zone, entry.weight if self.set.fixed_weights else known.weight
@@ -202,14 +198,17 @@
             if self.set.probes:
                 self.host.probe(place)
 
+    def lightest(self, zone: int, held: Iterable[Backend | Proxy]) -> int:
+        """The split of a zone that has least of what is held there."""
+        here = [h for h in held if h.zone == zone]
+        return min(range(self.splits), key=lambda k: sum(max(h.weight, 1e-3) for h in here if h.split == k))
+
     def probed(self, now: int, place: int, answered: bool) -> None:
         b = self.backends.get(place)
         if b and b.lost and not answered:
             b.ready = b.lost = False
             self.settle(now)
 
-    # -- tables
-
     def part(self, now: int, backend: Backend) -> float:
         """The part of its listed weight that a server gets: less while it is new or suspect."""
         rung = RUNGS[backend.rung]
@@ -228,9 +227,8 @@
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
 
     def balance(self, now: int) -> None:
-        """Exception to the zone tables: guards against a zone that loses servers, has cold or suspect ones or
-        meets far more calls than the others. What others' proxies ask is taken to go as ours where they are
-        dealt by chance, else by listed weight."""
+        """Guards against a zone that loses servers, has cold or suspect ones, or meets far more calls.
+        Others' proxies are taken to ask as ours where they are dealt by chance, else by listed weight."""
         own = (now - self.born_ns >= FRESH_NS) / (self.set.controllers if self.set.by_zone else 1)
         room, listed, asked = ([least] * self.set.zones for least in (0.0, 1e-9, 1e-9))
         waits: list[list[float]] = [[] for _ in room]
@@ -242,7 +240,7 @@
         for view, queues in zip(self.views, waits, strict=True):
             view.crowd = sum(queues) / max(1, len(queues))
         for proxy in self.proxies.values():
-            asked[proxy.zone] += sum(rate for rate, _ in proxy.asked.values()) or proxy.usual
+            asked[proxy.zone] += sum(rate for rate, _ in proxy.asked.values()) or proxy.weight
         if not sum(room):
             return
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(len(room))]
@@ -270,8 +268,8 @@
         late = away.spent / max(away.tries - away.bad, 1) - home.spent / max(home.tries - home.bad, 1)
         return away.bad / away.tries - home.bad / home.tries > ILL or late > SLO_PART * self.slo_ns
 
-    def wanted(self, now: int, zone: int, home: bool) -> dict[int, float]:
-        """The lines of a zone's table: its own servers, and a part of others' weight where it must."""
+    def wanted(self, now: int, zone: int, split: int, home: bool) -> dict[int, float]:
+        """The lines of a table: its zone's servers, and a part of others' weight where it must."""
         view = self.views[zone]
         far = {z for z in range(self.set.zones) if z != zone and self.poor(zone, z)}
         all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
@@ -281,23 +279,28 @@
         ready = warm if warm and (view.jam or now - self.blind_ns < FRESH_NS) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
-        lines = {p: weights[p] for p in own}
+        # Guards against more connections than servers accept: its own, and of the next ones to its share.
+        lines: dict[int, float] = {}
+        share = SPLIT_LEAST * sum(weights[p] for p in own) / self.splits
+        for p in sorted(own, key=lambda p: ((own[p].split - split) % self.splits, p)):
+            if own[p].split == split or len(lines) < LEAST_LINES or sum(lines.values()) < share:
+                lines[p] = weights[p]
         if view.keep < 1.0 and len(own) < len(ready):
             lines.update((p, weights[p] * view.abroad[b.zone]) for p, b in ready.items()
-                         if b.zone != zone and view.abroad[b.zone] > 0)
+                         if b.zone != zone and b.split == split and view.abroad[b.zone] > 0)
         # Guards against pushing over a cold server when the warm ones beside it go off at one stroke.
         frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
         lack = min(NET * frail, NET_MOST * sum(lines.values())) - sum(lines[p] for p in lines if p not in own)
-        net = {p: w for p, w in weights.items() if p not in lines and lack > 0}
+        net = {p: w for p, w in weights.items() if p not in lines and ready[p].split == split and lack > 0}
         total = sum(net.values())
         return lines | {p: lack * w / total for p, w in net.items()}
 
     def cold(self, now: int, backend: Backend) -> bool:
         return now - backend.since_ns < self.set.cold_ns
 
-    def zone_tables(self, zone: int) -> Iterator[tuple[int, int, bool]]:
+    def cell_tables(self, cell: int) -> Iterator[tuple[int, int, bool]]:
         for place, (routes, home) in enumerate(self.groups):
-            yield zone * len(self.groups) + place, routes, home
+            yield cell * len(self.groups) + place, routes, home
 
     def settle(self, now: int) -> None:
         """Brings each zone's tables to what the list asks for; a line that must go leaves at once."""
@@ -305,30 +308,31 @@
             return self.settle_slices(now)
         self.tell_jams()
         self.balance(now)
-        for zone in sorted(range(self.set.zones), key=self.paced.__getitem__):  # none starves another
+        for cell in sorted(range(len(self.paced)), key=self.paced.__getitem__):  # none starves another
+            zone, split = divmod(cell, self.splits)
             levels: dict[tuple[int, tuple[float, int]], int] = {}
             todo: list[tuple[int, float, int, int, float]] = []  # rank, then the less the sooner; the line
-            for table, routes, home in self.zone_tables(zone):
+            for table, routes, home in self.cell_tables(cell):
                 for k, (level, retry) in enumerate(self.views[zone].grants):
                     grant = level, 0 if self.views[zone].jam else retry  # further tries feed a jam
                     if routes >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
                         levels[table, grant] = levels.get((table, grant), 0) | 1 << k
-                have, want = self.tables[table], self.wanted(now, zone, home)
+                have, want = self.tables[table], self.wanted(now, zone, split, home)
                 moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > LINE_STEP * w}
                 first = 2 if any(p in want for p in have) else 0
                 todo += [(first, -abs(have.get(p, 0.0) - w), table, p, w) for p, w in moved.items()]
                 off = [(p, w, self.backends[p]) for p, w in have.items() if p not in want]
                 todo += [(1 if not b.ready or self.cold(now, b) else 2, -w, table, p, 0.0) for p, w, b in off]
-            # Guards against an order larger than the channel: it goes in parts, a first line before the last
-            # leaves, then what must leave (or is cold in a jam), levels, the greatest changes; more later.
+            # Guards against an order larger than the channel: first a line before the last leaves, then what
+            # must leave (or is cold in a jam), levels, the greatest changes; more later.
             todo.sort()
             ahead = sum(rank < 2 for rank, *_ in todo)
-            users = [p for p in self.proxies.values() if p.zone == zone and p.bound]
-            if not todo and not levels or users and not ahead and now - self.paced[zone] < PACE_NS:
+            users = [p for p in self.proxies.values() if p.bound and (p.zone, p.split) == (zone, split)]
+            if not todo and not levels or users and not ahead and now - self.paced[cell] < PACE_NS:
                 continue
             keep, rest = KEEP_DRAIN if ahead else KEEP_USUAL, len(todo) - ahead + len(levels)
             fit = self.take(now, users, ahead, keep, rest)
-            self.paced[zone] = now if users and fit else self.paced[zone]
+            self.paced[cell] = now if users and fit else self.paced[cell]
             if fit >= ahead + len(levels):
                 fit -= len(levels)
                 for (table, grant), mask in levels.items():
@@ -340,16 +344,14 @@
                 if not weight:
                     del self.tables[table][place]
 
-    # -- proxies
-
     def joined(self, now: int, number: int, zone: int, usual: float) -> None:
-        self.proxies[number] = Proxy(zone, usual)
+        self.proxies[number] = Proxy(zone, usual, self.lightest(zone, self.proxies.values()))
         self.bind(now, number)
 
     def bind(self, now: int, number: int) -> None:
-        """Puts a proxy on its zone's tables; until then it lives on what it holds."""
+        """Puts a proxy on its tables; until then it lives on what it holds."""
         proxy = self.proxies[number]
-        tables = list(self.zone_tables(proxy.zone))
+        tables = list(self.cell_tables(proxy.zone * self.splits + proxy.split))
         if self.set.slices or proxy.bound or not any(self.tables[t] for t, _, _ in tables):
             return
         lines = sum(1 + len(self.tables[t]) + len(self.levels[t]) for t, _, _ in tables)
@@ -361,8 +363,6 @@
     def left(self, now: int, number: int) -> None:
         self.proxies.pop(number, None)
 
-    # -- reports
-
     def heard(self, now: int, zone: int, place: int, tries: int, bad: int, latency_ns: int, covers_ns: int,
               load: dict[str, float]) -> None:
         backend = self.backends.get(place)
@@ -374,8 +374,8 @@
         view.met.add(now, self.half_ns / 2, tries, bad, latency_ns)  # many tries: a jam is told sooner
         backend.queue = load.get("queue", backend.queue)
         # Only good answers count, so quick errors lift nothing; late bundles are no jump.
-        until = now + 2 * max(covers_ns, self.set.report_ns)
-        view.lines[place] = (tries - bad) * SECOND / covers_ns, latency_ns, until
+        until, rate = now + 2 * max(covers_ns, self.set.report_ns), (tries - bad) * SECOND / covers_ns
+        view.lines[place] = rate, latency_ns, until
         view.fresh = True
 
     def asked(self, now: int, number: int, route: int, calls: int, dropped: int, covers_ns: int) -> None:
@@ -386,8 +386,6 @@
             old = proxy.asked.get(route, (calls * (SECOND / covers_ns - LN2 * SECOND / half), 0))[0]
             proxy.asked[route] = old + calls * LN2 * SECOND / half, half
 
-    # -- the one timer
-
     def tick(self, now: int) -> None:
         self.host.wake_in(self.tick_ns)
         if now - self.ticked_ns > STALL_TICKS * self.tick_ns:
@@ -405,8 +403,6 @@
         for number in self.proxies:
             self.bind(now, number)
 
-    # -- health
-
     def judge(self, now: int) -> None:
         """Moves each backend down the rungs while it drops or dawdles far more than the fleet, and up again:
         slow machines, quick errors, hanging, silence. If all are ill, none is. One that reports a queue is
@@ -426,17 +422,12 @@
             good = b.met.tries - b.met.bad
             slower = good >= LEAST_TRIES and b.met.spent / good >= slow and not 0 <= b.queue < LEAST_QUEUE
             full = b.queue >= LEAST_QUEUE and not silent
+            rung = b.rung - (now - b.moved_ns >= self.climb_ns)
             if share >= ILL and not full or slower:
-                if b.rung < LAST:
-                    self.step(now, place, b, LAST if share >= DEAD and not full else b.rung + 1)
-            elif b.rung and now - b.moved_ns >= self.climb_ns:
-                self.step(now, place, b, b.rung - 1)
-
-    def step(self, now: int, place: int, b: Backend, rung: int) -> None:
-        b.rung, b.moved_ns, b.met = rung, now, Met()
-        self.host.record(f"suspect {place} on rung {rung}")
-
-    # -- levels
+                rung = LAST if share >= DEAD and not full else b.rung + 1
+            if min(LAST, max(0, rung)) != b.rung:
+                b.rung, b.moved_ns, b.met = rung, now, Met()
+                self.host.record(f"suspect {place} on rung {rung}")
 
     def lowest(self, now: int, seen: deque[tuple[int, float]], value: float) -> float:
         """The lowest of the values seen over the window, this one the last."""
@@ -465,8 +456,7 @@
         # What was answered lately can be answered again: guards against a level that feeds on itself.
         weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
         proven = -self.lowest(now, self.best, -total / weight) * weight
-        # Guards against one zone's jam that starves the others, and their ease that feeds it: while some are
-        # jammed and others calm, these rise to their own views and those fall half way to theirs.
+        # Guards against one zone's jam that starves the calm ones, and their ease that feeds it.
         heard = [v for v in self.views if v.calls >= 0]
         torn = any(v.jam for v in heard) and any(v.calm and not v.jam for v in heard)
         fold, budgets = median(v.calls for v in heard) if heard else -1.0, []
@@ -495,8 +485,8 @@
                 for k in same:
                     view.grants[k] = round(level / LEVEL_STEP) * LEVEL_STEP, 1
                     if self.set.level_kind == "rate":  # calls a second at each proxy
-                        most = level * max(each[k], default=0.0)
-                        view.grants[k] = OPEN_RATE if level >= 1 else float(f"{most:.1g}") + 1, 1
+                        most = float(f"{level * max(each[k], default=0.0):.1g}") + 1
+                        view.grants[k] = OPEN_RATE if level >= 1 else most, 1
 
     # -- sites with slices: no tuning, no rule broken
 
--- a/meadowworks/settings.py
+++ b/meadowworks/settings.py
@@ -92,6 +92,8 @@
     settings = Settings(
         routes=tuple(routes),
         zones=len(zones),
+        proxies=round(number("extra.proxy_count")),
+        connections=number("extra.sockets_min") if "extra.sockets_min" in options else 0.0,
         controllers=round(number("balancers")),
         by_zone=options.get("extra.by_zone") in TRUE,
         subscribe=text("membership_mode") == "subscribe",
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,7 +22,8 @@
 SECOND = 1_000_000_000
 ROUTES = (Route(2.0, SECOND, False), Route(1.0, SECOND, False), Route(2.0, SECOND, False))
 SETTINGS = Settings(
-    routes=ROUTES, zones=2, controllers=1, by_zone=True, subscribe=True, ask_within_ns=10 * SECOND,
+    routes=ROUTES, zones=2, proxies=40, connections=0.0, controllers=1,
+    by_zone=True, subscribe=True, ask_within_ns=10 * SECOND,
     only_draining_binds=False, probes=False, level_kind="share",
     base_retry=1, ejects=5, report_ns=SECOND // 2, fixed_weights=True, channel_rate=800.0, queue_cap=1600.0,
     head=10.0, messages_most=20, messages_over_ns=10 * SECOND, delay_most_ns=SECOND // 3, cold_share=0.3,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from meadowworks.rules import RUNGS
+from meadowworks.rules import LEAST_LINES, RUNGS
 from tests.helpers import ROUTES, SECOND, SETTINGS, Fleet, entry, started
 
 STEP = st.one_of(
@@ -365,3 +365,19 @@
     assert 0.8 < asked / 10 < 1.25
     fleet.run(8)
     assert sum(p.asked[0][0] for p in fleet.module.proxies.values()) < 0.05 * asked
+
+
+def test_more_proxies_than_servers_accept_connections_are_split_and_none_is_left_without() -> None:
+    crowd = replace(SETTINGS, proxies=150, connections=35.0, queue_cap=5100.0)
+    fleet = started(crowd, per_zone=15, proxies=150)
+    fleet.run(20)  # joins wait for room in the channel
+    named = [sum(b in fleet.pick(p, 0) for p in fleet.bound) for b in range(30)]
+    assert max(named) <= 35 and min(named) > 0
+    assert all(len(fleet.pick(p, 0)) >= LEAST_LINES for p in fleet.bound)
+    mine = fleet.pick(0, 0)
+    fleet.module.listed(fleet.now, "changes", [entry(b, 0, "draining") for b in mine])
+    assert fleet.pick(0, 0) and not fleet.pick(0, 0) & mine
+    before = {p: fleet.pick(p, 0) for p in fleet.bound}
+    fleet.module.listed(fleet.now, "changes", [entry(30, 0, since=fleet.now)])
+    fleet.run(3)
+    assert 0 < sum(fleet.pick(p, 0) != before[p] for p in fleet.bound) <= 35  # it goes to one split alone
