Read the configuration again on SIGHUP and move the list's actor to the new address

At fault: __main__.serve, discovery.Discovery.run and timely. Now: SIGHUP reads the file again; a new address goes to the list's mailbox, which ends a waiting call without a failure and asks there for the whole list. A file that cannot be used is one line in the log, and what only a restart can change is named. Streams and all that the module knows stay.

--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from dataclasses import fields
 from typing import Any
 
 from loguru import logger
@@ -16,11 +17,12 @@
 from meadowworks.node.invariants import count
 from meadowworks.node.listener import Door
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import News, Track
+from meadowworks.node.messages import Follow, Moved, News
 from meadowworks.settings import Missing
 
 REPORTS_MOST = 16384  # waiting for the module: more than a minute of all that a report rate brings
 LIST_MOST = 1  # nothing in the list's mailbox is a report
+AT_ONCE = {"discovery", "seed", "known"}  # of a configuration read again: followed, or of a start alone
 
 
 async def serve(config: Config) -> None:
@@ -40,11 +42,27 @@
         if not end.done():
             end.set_result(None)
 
+    def again() -> None:
+        """Reads the configuration again. Whatever is wrong with it, the program goes on with the old one."""
+        nonlocal config
+        try:
+            old, config = config, load(os.environ)
+        except Exception as trouble:
+            count("configurations passed over")
+            return logger.warning("configuration not taken, the old one stands: {}", trouble)
+        logger.info("configuration read again: discovery at {}", config.discovery)
+        if config.discovery != old.discovery:
+            lists.put(Moved(config.discovery))
+        told = [f.name for f in fields(Config) if getattr(config, f.name) != getattr(old, f.name)]
+        if late := sorted(set(told) - AT_ONCE):
+            logger.warning("configuration: only a restart can change {}", ", ".join(late))
+
     loop.set_exception_handler(fault)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told)
     module: Mailbox[News] = Mailbox(REPORTS_MOST)
-    lists: Mailbox[Track] = Mailbox(LIST_MOST)
+    lists: Mailbox[Follow] = Mailbox(LIST_MOST)
+    loop.add_signal_handler(signal.SIGHUP, again)
     node = Node(config, module, lists)
     index = config.known.index if config.known else None
     discovery = Discovery(config.discovery, index, config.settings.ask_within_ns, lists, module)
--- a/meadowworks/node/config.py
+++ b/meadowworks/node/config.py
@@ -48,9 +48,13 @@
             raise Missing(f"{key} is missing from NODE_CONFIG, and NODE_{key.upper()} is not set")
         return value
 
-    host, _, port = text("listen").rpartition(":")
-    if not host or not port.isdigit():
-        raise Missing(f"listen is no address with a port: {text('listen')!r}")
+    def address(key: str) -> tuple[str, int]:
+        host, _, port = text(key).rpartition(":")
+        if not host or not port.isdecimal() or not 0 < int(port) < 1 << 16:
+            raise Missing(f"{key} is no address with a port: {text(key)!r}")
+        return host, int(port)
+
+    (host, port), _ = address("listen"), address("discovery")
     nested = given.get("settings")
     if not isinstance(nested, dict):
         raise Missing("settings are missing from NODE_CONFIG")
@@ -71,7 +75,7 @@
     except ValueError as trouble:
         raise Missing(f"tick_us or limits.sockets: missing or bad: {trouble}") from trouble
     return Config(
-        name=text("name"), host=host, port=int(port), discovery=text("discovery"),
+        name=text("name"), host=host, port=port, discovery=text("discovery"),
         seed=zlib.crc32(str(given.get("seed", "")).encode()), sockets=sockets, known=known,
         settings=settings, zones=zones, routes=routes, batch_ns=batch_us * 1000,
     )
--- a/meadowworks/node/controller.py
+++ b/meadowworks/node/controller.py
@@ -21,6 +21,7 @@
     Asked,
     Due,
     End,
+    Follow,
     Joined,
     Left,
     ListFailed,
@@ -50,7 +51,7 @@
 
 
 class Node:
-    def __init__(self, config: Config, mailbox: Mailbox[News], lists: Mailbox[Track]) -> None:
+    def __init__(self, config: Config, mailbox: Mailbox[News], lists: Mailbox[Follow]) -> None:
         self.mailbox, self.lists = mailbox, lists
         self.zones, self.routes = config.zones, config.routes
         self.batch_ns = config.batch_ns
--- a/meadowworks/node/discovery.py
+++ b/meadowworks/node/discovery.py
@@ -9,7 +9,7 @@
 
 from meadowworks.node.invariants import count
 from meadowworks.node.mailbox import Mailbox
-from meadowworks.node.messages import ListFailed, Listing, News, Track, read_listing
+from meadowworks.node.messages import Follow, ListFailed, Listing, Moved, News, Track, read_listing
 
 # A watch waits so long, of the time within which the settings want the list asked for. Short, so that a
 # connection that has gone silent is told soon; a watch that goes on costs discovery nothing.
@@ -26,10 +26,9 @@
 class Discovery:
     def __init__(
         self, address: str, index: int | None, ask_within_ns: int,
-        mailbox: Mailbox[Track], module: Mailbox[News],
+        mailbox: Mailbox[Follow], module: Mailbox[News],
     ) -> None:
-        self.url = f"http://{address}/discovery/hosts"
-        self.index: int | None = index
+        self.address, self.index = address, index
         self.wait_ms = min(WAIT_MOST_MS, int(ask_within_ns * WAIT_PART) // 1_000_000) or WAIT_MOST_MS
         self.mailbox, self.module = mailbox, module
         self.tracking = self.goes_on = False
@@ -41,12 +40,21 @@
             while True:
                 while not self.tracking or self.mailbox.arrived.is_set():
                     await self.mailbox.wait()
-                    for track in self.mailbox.drain():
-                        self.tracking = track.on
+                    for item in self.mailbox.drain():
+                        match item:
+                            case Track(on):
+                                self.tracking = on
+                            case Moved(address):  # the whole list: what the old one still told is lost
+                                self.address, self.index = address, None
+                                self.tracking, self.goes_on = True, False
                 try:
                     was, began = self.index, loop.time()
                     news = await self.timely(session)
+                    if news is None:
+                        continue
                 except Exception as trouble:  # whatever it is, the old list stands and the module is told
+                    if self.mailbox.arrived.is_set():  # the old address went before its successor was read
+                        continue
                     self.tracking = self.goes_on = False
                     count("list calls failed")
                     why = f"{type(trouble).__name__} {trouble}"
@@ -62,24 +70,28 @@
                         count("list answers without a wait")
                         await asyncio.sleep(HASTE_S)
 
-    async def timely(self, session: aiohttp.ClientSession) -> Listing:
-        """One call within its limit. Guards against giving up, after a stall that outlasted the limit, an
-        answer that lies in the socket: what it told counts as told."""
-        call = asyncio.ensure_future(self.call(session))
+    async def timely(self, session: aiohttp.ClientSession) -> Listing | None:
+        """One call within its limit; nothing if there is mail first. Guards against giving up, after a stall
+        that outlasted the limit, an answer that lies in the socket: what it told counts as told."""
+        call, mail = asyncio.ensure_future(self.call(session)), asyncio.ensure_future(self.mailbox.wait())
         try:
             limit_s = self.wait_ms / 1000 + (ANSWER_S if self.goes_on else TURN_S)
             for wait_s in (limit_s, READ_S):
-                await asyncio.wait({call}, timeout=wait_s)
-            if not call.done():
-                raise TimeoutError(f"no answer within {limit_s} s")
-            return call.result()
+                await asyncio.wait({call, mail}, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+            if call.done():
+                return call.result()
+            if mail.done():
+                return None
+            raise TimeoutError(f"no answer within {limit_s} s")
         finally:
             call.cancel()
+            mail.cancel()
 
     async def call(self, session: aiohttp.ClientSession) -> Listing:
         """One call of a watch; without an index, the whole list."""
         query = {} if self.index is None else {"index": str(self.index), "wait": str(self.wait_ms)}
-        async with session.get(self.url, params=query, allow_redirects=False) as answer:
+        url = f"http://{self.address}/discovery/hosts"
+        async with session.get(url, params=query, allow_redirects=False) as answer:
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             news = read_listing(await answer.read())
--- a/meadowworks/node/messages.py
+++ b/meadowworks/node/messages.py
@@ -132,6 +132,13 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """Discovery is at another address now."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class ListFailed:
     why: str
@@ -144,6 +151,7 @@
 
 Spoken = Beat | Collector | Attach | Done | Met | Asked
 Told = Spoken | Message | End  # to the actor of a connection
+Follow = Track | Moved  # to the list's actor
 News = Joined | Left | Met | Asked | Listing | ListFailed | Due  # to the module's actor
 BEAT_OK = b"hb_ok\r\n"
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -280,11 +280,21 @@
             "known": {"index": 1, "snapshot": True, "endpoints": [e for _, e in desk.entries.values()]},
             "settings": settings}
 
+    def write(self, **change: Any) -> Path:
+        self.config.update(change)
+        config = self.folder / "config.json"
+        config.write_text(json.dumps(self.config))
+        return config
+
+    async def logged(self, text: str) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while text not in self.log():
+                await asyncio.sleep(0.02)
+
     async def start(self, *command: str) -> Program:
         if "discovery" not in self.config:
             self.config["discovery"] = await self.desk.open()
-        config = self.folder / "config.json"
-        config.write_text(json.dumps(self.config))
+        config = self.write()
         with open(self.folder / "log", "w") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *(command or ("-m", "meadowworks")), env={"NODE_CONFIG": str(config)},
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -98,6 +98,34 @@
     play(act, tmp_path, desk)
 
 
+def test_a_configuration_read_again_moves_the_list_and_costs_no_stream(tmp_path: Path) -> None:
+    desk, next_desk = Desk(*THREE), Desk(*THREE[1:])
+
+    async def act(program: Program) -> None:
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2"))
+        for bad in ("", '{"name": "n0", "listen"', '{"listen": 7}', "[]"):
+            (tmp_path / "config.json").write_text(bad)
+            program.process.send_signal(signal.SIGHUP)
+        await program.logged("configuration not taken, the old one stands")
+        (tmp_path / "config.json").unlink()
+        program.process.send_signal(signal.SIGHUP)
+        await desk.tell(listed("s-4"))  # the old list stands, and is followed
+        await east.until(holds("s-1", "s-2", "s-4"))
+        program.write(discovery=await next_desk.open(), seed="another", limits={"sockets": 999})
+        program.process.send_signal(signal.SIGHUP)
+        await east.until(holds("s-2"))  # what the new address does not name has gone meanwhile
+        await program.logged("only a restart can change sockets")
+        calls = desk.calls
+        for k in (5, 6):  # again, the same: nothing moves
+            program.process.send_signal(signal.SIGHUP)
+            await next_desk.tell(listed(f"s-{k}"))
+            await east.until(lambda p, name=f"s-{k}": name in p.tables["look"])  # type: ignore[misc]
+        assert desk.calls == calls and "list: call failed" not in program.log()
+
+    play(act, tmp_path, desk)
+
+
 def test_it_waits_for_an_address_that_is_not_free_yet(tmp_path: Path) -> None:
     async def act() -> None:
         program = Program(tmp_path, Desk(*THREE))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -19,13 +19,13 @@
 from meadowworks.node.messages import (
     Attach,
     Beat,
+    Follow,
     Joined,
     Left,
     Listing,
     Met,
     News,
     Told,
-    Track,
     Unreadable,
     decode,
     encode,
@@ -222,7 +222,7 @@
         near, far = socket.socketpair()
         with near, far:
             near.setblocking(False)
-            actor = discovery.Discovery("127.0.0.1:1", 1, 10_000_000, Mailbox[Track](1), Mailbox[News](1))
+            actor = discovery.Discovery("127.0.0.1:1", 1, 10_000_000, Mailbox[Follow](1), Mailbox[News](1))
 
             async def call(_: object) -> Listing:
                 await asyncio.get_running_loop().sock_recv(near, 1)
@@ -234,7 +234,7 @@
             await asyncio.sleep(0)  # the call waits
             far.send(b"!")
             time.sleep(10 * actor.wait_ms / 1000)  # the process stands still
-            assert (await answer).index == 2
+            assert (await answer) == Listing(2, False, ())
 
     asyncio.run(act())
 
@@ -264,7 +264,7 @@
 
     async def act() -> None:
         config = load({"NODE_CONFIG": str(tmp_path / "config.json")})
-        node = controller.Node(config, Mailbox[News](9), Mailbox[Track](9))
+        node = controller.Node(config, Mailbox[News](9), Mailbox[Follow](9))
         due, wait = node.due_ns, config.settings.report_ns
         node.now = due + 1000  # a little late: the next is counted from when this one was due
         node.wake_in(wait)
