Keep cold servers in a jam where together they bear all calls; less abroad to full zones

Checked: tries by server beside its lines in the tables: ten seconds after their start none of the zone's fifteen restarted servers was in any table of its zone; its calls went to the other zone, whose servers had 10 to 15 calls waiting each while those at home had none. Reports in time, drops and levels were ruled out (levels open at first). At fault: rules.wanted kept every cold server out while a zone was jammed, and the jam was kept by just that; rules.balance took a zone's room from its listed weight, whatever its queues said. Now: cold servers stay named in a jam if all of the zone's cold ones together could take all that is asked, by what pushes one over (settings) and the best that was answered in the window; a single one still stays out. What goes abroad shrinks with the queues there beyond those at home.

--- a/meadowworks/host.py
+++ b/meadowworks/host.py
@@ -44,6 +44,7 @@
     messages_over_ns: int
     delay_most_ns: int
     cold_share: float
+    tip: float  # times what a cold backend can do that pushes it over
     cold_ns: int
     slices: int
     exclusive: bool
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -122,7 +122,7 @@
         self.best: deque[tuple[int, float]] = deque()  # (when, -throughput of a weight), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
         self.due: list[tuple[int, int, Callable[[], None]]] = []
-        self.queue, self.sent, self.queue_ns = [0.0, 0.0], 0.0, now_ns
+        self.queue, self.sent, self.asking, self.proven, self.queue_ns = [0.0, 0.0], 0.0, 0.0, 0.0, now_ns
         self.marks: deque[tuple[int, int, float]] = deque()  # out: number, when due, sent before it
         self.slices: dict[int, dict[int, float]] = {}
         self.moving: dict[int, int] = {}  # slices whose owner is gone, and when the next may follow
@@ -229,16 +229,8 @@
         least = self.set.cold_share + (1 - self.set.cold_share) * step
         return RUNGS[backend.rung] * (1.0 if step == RAMP[-1] else RAMP_PART * least if step else ENTRY)
 
-    def tell_jams(self) -> None:
-        for zone, view in enumerate(self.views):
-            share = view.met.bad / max(view.met.tries, LEAST_TRIES) / (1 if self.set.ejects else CALM)
-            if share > JAM[0] if not view.jam else share < JAM[1]:
-                view.jam = not view.jam
-                self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
-
     def balance(self, now: int) -> None:
-        """Guards against a zone that loses servers, has cold or suspect ones, or meets far more calls.
-        Others' proxies are taken to ask as ours where they are dealt by chance, else by listed weight."""
+        """Guards against a zone that loses servers, has cold or suspect ones, or meets far more calls."""
         own = (now - self.born_ns >= FRESH_NS) / (self.set.controllers if self.set.by_zone else 1)
         room, listed, asked = ([least] * self.set.zones for least in (0.0, 1e-9, 1e-9))
         waits: list[list[float]] = [[] for _ in room]
@@ -256,6 +248,10 @@
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(len(room))]
         spare = [max(0.0, r / sum(room) - n) for r, n in zip(room, need, strict=True)]
         for zone, view in enumerate(self.views):
+            share = view.met.bad / max(view.met.tries, LEAST_TRIES) / (1 if self.set.ejects else CALM)
+            if share > JAM[0] if not view.jam else share < JAM[1]:
+                view.jam = not view.jam
+                self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
             view.full = max(view.full, listed[zone])
             # Uneven calls alone, with none waiting, are the zone's own; a spill once begun ends later.
             strained = view.crowd >= CROWD or not view.calm or view.jam
@@ -263,28 +259,33 @@
             keep = room[zone] / sum(room) / need[zone]
             end = SPILL_AT + (SPILL_STEP if view.keep < 1.0 else 0.0)
             keep = min(keep, SPILL_AT) if short and keep <= end else 1.0
+            # Guards against a zone that has room by its weight and none by its queues.
+            free = [s / max(1.0, self.views[z].crowd / max(CROWD, view.crowd)) for z, s in enumerate(spare)]
+            keep = 1 - (1 - keep) * (sum(free) - free[zone]) / max(sum(spare) - spare[zone], 1e-9)
             if abs(keep - view.keep) <= SPILL_STEP * view.keep and (keep < 1.0 or view.keep == 1.0):
                 continue
             self.host.record(f"zone {zone} " + ("keeps calls" if keep == 1.0 else "sends calls abroad"))
-            excess = room[zone] * (1 - keep) / max(keep, RUNGS[-1]) / max(sum(spare) - spare[zone], 1e-9)
+            excess = room[zone] * (1 - keep) / max(keep, RUNGS[-1]) / max(sum(free) - free[zone], 1e-9)
             view.keep = keep
-            view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(spare, room, strict=True)]
+            view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(free, room, strict=True)]
 
     def poor(self, zone: int, far: int) -> bool:  # guards against a slow or lossy link, not full servers
         home, away = self.views[zone].ways.get(zone, Met()), self.views[zone].ways.get(far, Met())
-        if min(home.tries, away.tries) < LEAST_TRIES or self.views[far].crowd >= LEAST_QUEUE:
-            return False
+        told = min(home.tries, away.tries) >= LEAST_TRIES and self.views[far].crowd < LEAST_QUEUE
         late = away.spent / max(away.tries - away.bad, 1) - home.spent / max(home.tries - home.bad, 1)
-        return away.bad / away.tries - home.bad / home.tries > ILL or late > SLO_PART * self.slo_ns
+        return told and (away.bad / away.tries - home.bad / home.tries > ILL or late > SLO_PART * self.slo_ns)
 
     def wanted(self, now: int, zone: int, split: int, home: bool) -> dict[int, float]:
         view = self.views[zone]
         far = {z for z in range(self.set.zones) if z != zone and self.poor(zone, z)}
         all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         ready = {p: b for p, b in all_ready.items() if b.zone not in far} or all_ready
-        # Guards against pushing over a cold server where proxies avoid the warm ones after a run of drops.
+        # Guards against pushing over a cold server if proxies avoid the warm, unless the cold bear all calls.
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        ready = warm if warm and (view.jam or now - self.blind_ns < FRESH_NS) else ready
+        cold = [b for p, b in ready.items() if b.zone == zone and p not in warm]
+        bear = self.set.tip * sum(b.weight * self.part(now, b) / RUNGS[b.rung] for b in cold)
+        weak = bear * self.proven < max(self.asking, PROVEN * self.proven) * view.full
+        ready = warm if warm and (view.jam and weak or now - self.blind_ns < FRESH_NS) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
         # Guards against more connections than servers accept: its own, and of the next ones to its share.
@@ -309,7 +310,6 @@
     def settle(self, now: int) -> None:  # brings tables to what is wanted; what must go leaves at once
         if self.set.slices:
             return self.settle_slices(now)
-        self.tell_jams()
         self.balance(now)
         for cell in sorted(range(len(self.paced)), key=self.paced.__getitem__):  # none starves another
             zone, split = divmod(cell, self.splits)
@@ -407,9 +407,7 @@
         for number in self.proxies:
             self.bind(now, number)
 
-    def judge(self, now: int) -> None:
-        """Moves a backend down the rungs while it drops or dawdles far more than the fleet, and up again. If
-        all are ill, none is. One that reports a queue is full, not ill: a rung at a time, if it answers."""
+    def judge(self, now: int) -> None:  # down a rung for what drops or dawdles; if all are ill, none is
         for p, b in list(self.backends.items()):
             b.met.add(now, self.half_ns, 0, 0, 0)  # what is not heard fades, or a silent suspect stays one
             if 0 < b.gone_ns < now - WINDOW_NS and not b.ready and all(p not in t for t in self.tables):
@@ -459,7 +457,7 @@
                 view.calls = min(CAP * total, old * min(1.0, max(LEAST_CUT, cut)) + GAIN * total)
         # What was answered lately can be answered again: guards against a level that feeds on itself.
         weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
-        proven = -self.lowest(now, self.best, -total / weight) * weight
+        self.proven = proven = -self.lowest(now, self.best, -total / weight) * weight
         # Guards against one zone's jam that starves the calm ones, and their ease that feeds it.
         heard = [v for v in self.views if v.calls >= 0]
         torn = any(v.jam for v in heard) and any(v.calm and not v.jam for v in heard)
@@ -471,17 +469,18 @@
         return budgets
 
     def spend(self, now: int) -> None:
-        routes = self.set.routes
-        each = [[p.asked.get(k, (0.0, 0))[0] for p in self.proxies.values()] for k in range(len(routes))]
+        users, names = self.proxies.values(), range(len(self.set.routes))
+        each = [[p.asked.get(k, (0.0, 0))[0] for p in users] for k in names]
         asked = [sum(rates) + 1e-9 for rates in each]
-        self.slo_ns = sum(a * r.slo_ns for a, r in zip(asked, routes, strict=True)) / sum(asked)
+        self.asking = sum(asked)
+        self.slo_ns = sum(a * r.slo_ns for a, r in zip(asked, self.set.routes, strict=True)) / self.asking
         budgets = self.estimate(now)
         if now - self.born_ns < FRESH_NS or min(budgets) < 0:
             return
         for view, left in zip(self.views, budgets, strict=True):
-            view.grants = [(1.0, 1)] * len(routes)
-            for importance in sorted({r.importance for r in routes}, reverse=True):
-                same = [k for k, r in enumerate(routes) if r.importance == importance]
+            view.grants = [(1.0, 1)] * len(asked)
+            for importance in sorted({r.importance for r in self.set.routes}, reverse=True):
+                same = [k for k, r in enumerate(self.set.routes) if r.importance == importance]
                 calls = sum(asked[k] for k in same)
                 level = max(FLOOR, min(1.0, left / calls))
                 left = max(0.0, left - level * calls)
--- a/meadowworks/settings.py
+++ b/meadowworks/settings.py
@@ -112,6 +112,7 @@
         messages_over_ns=span("extra.update_window_us"),
         delay_most_ns=span("extra.push_delay_max_us"),
         cold_share=number("safety.cold_share"),
+        tip=number("safety.tip_multiple") if "safety.tip_multiple" in options else 1.0,
         cold_ns=span("safety.cold_us"),
         slices=round(number("extra.slices")),
         exclusive=flag("extra.exclusive"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,6 +27,7 @@
     only_draining_binds=False, probes=False, level_kind="share",
     base_retry=1, ejects=5, report_ns=SECOND // 2, fixed_weights=True, channel_rate=800.0, queue_cap=1600.0,
     head=10.0, messages_most=20, messages_over_ns=10 * SECOND, delay_most_ns=SECOND // 3, cold_share=0.3,
+    tip=2.5,
     cold_ns=15 * SECOND, slices=0, exclusive=False, lease_ns=2 * SECOND, in_flight_ns=2 * SECOND,
 )
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -441,3 +441,33 @@
         fleet.module.listed(fleet.now, "changes", [entry(b, b % 2, weight=weight) for b in range(6)])
         fleet.run(9)
         assert all(fleet.tables[t][b] == weight for t in (0, 1) for b in fleet.tables[t])
+
+
+def test_a_zone_that_restarts_as_a_whole_serves_in_a_jam_as_soon_as_it_bears_all_calls() -> None:
+    for share, soon in ((0.3, True), (0.02, False)):  # of its capacity at the start
+        fleet = started(replace(SETTINGS, cold_share=share), per_zone=8, proxies=8)
+        fleet.ask(10)
+        for _ in range(8):
+            fleet.report({}, tries=30)
+            fleet.run(0.5)
+        fleet.module.listed(fleet.now, "changes", [entry(b, 0, since=fleet.now) for b in range(0, 16, 2)])
+        for _ in range(6):
+            fleet.report({b: 0.5 for b in range(0, 16, 2)}, tries=30)
+            fleet.ask(10)
+            fleet.run(0.5)
+        assert any("jammed" in line for line in fleet.records)
+        assert any(b % 2 == 0 for b in fleet.tables[0]) == soon  # long before the cold time is over
+
+
+def test_less_goes_abroad_to_a_zone_whose_servers_queue() -> None:
+    kept = []
+    for queue in (0.0, 12.0):
+        fleet = started(per_zone=6, proxies=8)
+        fleet.module.listed(fleet.now, "changes", [entry(b, 0, "gone") for b in range(0, 8, 2)])
+        for _ in range(8):
+            for b in range(1, 12, 2):
+                fleet.module.heard(fleet.now, 1, b, 20, 0, SECOND // 10, SECOND // 2, {"queue": queue})
+            fleet.ask(10)
+            fleet.run(0.5)
+        kept.append(fleet.module.views[0].keep)
+    assert kept[0] < 0.85 and kept[1] > 1 - (1 - kept[0]) / 4
