--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,12 +14,16 @@
 from hypothesis import strategies as st
 
 from meadowworks.door import Names
-from meadowworks.node import controller, discovery, listener, proxies
+from meadowworks.node import collectors, controller, discovery, listener, proxies
 from meadowworks.node.config import load
 from meadowworks.node.mailbox import Mailbox
 from meadowworks.node.messages import (
+    Asked,
     Attach,
     Beat,
+    Collector,
+    Done,
+    End,
     Follow,
     Joined,
     Left,
@@ -252,6 +256,24 @@
     asyncio.run(act())
 
 
+def test_a_stream_passes_on_its_own_usage_and_marks_alone_and_a_collector_its_zones() -> None:
+    async def act() -> None:
+        stream, module, line = Mailbox[Told](9), Mailbox[News](9), cast(asyncio.Transport, Transport())
+        here, there = Met("a", "s", 1, 0, 1, 1, {}), Met("b", "s", 1, 0, 1, 1, {})
+        mine, other = Asked(2, "look", 1, 0, 1), Asked(3, "look", 1, 0, 1)
+        said: list[Told] = [mine, other, Done(2, 9), Done(3, 9), here, there, End("over")]
+        for item in said:
+            stream.put(item)
+        await proxies.serve(Attach(2, "a", 1.0, True), line, stream, module)
+        assert module.drain()[1:-1] == [said[0], said[2]]
+        for item in said:
+            stream.put(item)
+        await collectors.serve(Collector("a"), line, stream, module)
+        assert module.drain() == [mine, other, here]
+
+    asyncio.run(act())
+
+
 def test_a_stall_that_outlasts_a_calls_limit_loses_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "TURN_S", 0.0)
 
