--- a/meadowworks/node/discovery.py
+++ b/meadowworks/node/discovery.py
@@ -98,5 +98,8 @@
         if self.index is not None and news.index < self.index:
             was, self.index = self.index, None
             raise ValueError(f"index went back from {was} to {news.index}")
-        self.index = news.index
+        if news.spoilt and count("list answers with spoilt entries"):
+            logger.warning("list: {} entries without sense at index {}", news.spoilt, news.index)
+        # What a spoilt change had to tell is in the whole list; if that is spoilt too, it has to do.
+        self.index = None if news.spoilt and query else news.index
         return news
--- a/meadowworks/node/messages.py
+++ b/meadowworks/node/messages.py
@@ -83,6 +83,7 @@
     index: int
     whole: bool
     entries: tuple[Named, ...]
+    spoilt: int = 0  # entries that could not be read
 
 
 @dataclass(frozen=True, slots=True)
@@ -276,15 +277,24 @@
     return "".join(lines).encode()
 
 
+def named(e: Any) -> Named:
+    if not isinstance(e["name"], str) or not e["name"]:
+        raise ValueError("an entry without a name")
+    since = round(figure(str(e.get("since_ms", 0)))) * MS
+    return Named(e["name"], str(e["zone"]), STATES[e["status"]], since, figure(str(e.get("weight", 1.0))))
+
+
 def listing(answer: Any) -> Listing:
-    """Discovery's answer, already read as JSON."""
+    """Discovery's answer, already read as JSON. A spoilt entry is left out and counted; the whole list then
+    tells nothing of who is absent."""
+    entries, spoilt = [], 0
     try:
-        entries = tuple(
-            Named(str(e["name"]), str(e["zone"]), STATES[e["status"]],
-                  round(figure(str(e.get("since_ms", 0)))) * MS, figure(str(e.get("weight", 1.0))))
-            for e in answer["endpoints"]
-        )
-        return Listing(int(answer["index"]), bool(answer["snapshot"]), entries)
+        for entry in answer["endpoints"]:
+            try:
+                entries.append(named(entry))
+            except (KeyError, TypeError, ValueError, AttributeError):
+                spoilt += 1
+        return Listing(int(answer["index"]), bool(answer["snapshot"]) and not spoilt, tuple(entries), spoilt)
     except (KeyError, TypeError) as trouble:
         raise ValueError(f"a list without sense: {type(trouble).__name__} {trouble}") from trouble
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -98,6 +98,23 @@
     play(act, tmp_path, desk)
 
 
+def test_a_spoilt_entry_costs_neither_the_others_nor_what_it_had_to_tell(tmp_path: Path) -> None:
+    desk = Desk(*THREE)
+
+    async def act(program: Program) -> None:
+        east = await program.proxy(0)
+        await east.until(holds("s-1", "s-2"))
+        await desk.tell({**listed("s-2", status="terminating"), "since_ms": "soon"}, listed("s-3"),
+                        {**listed("s-4"), "status": "odd"}, {**listed("s-5"), "name": 7})
+        await east.until(holds("s-1", "s-2", "s-3"))  # the sound one; none of the others is taken to be gone
+        await desk.tell(listed("s-2", status="terminating"))
+        await east.until(rid("s-2"))
+        await program.logged("entries without sense")
+        assert "list: call failed" not in program.log()
+
+    play(act, tmp_path, desk)
+
+
 def test_a_configuration_read_again_moves_the_list_and_costs_no_stream(tmp_path: Path) -> None:
     desk, next_desk = Desk(*THREE), Desk(*THREE[1:])
 
