Hold answers to marks to a connection's bound as reports are; one word for reports

What counts as a report is now said once, in messages. Also: a local of the reload no longer hides the function beside it, and spend and estimate lose a name each that stood for nothing of its own.

--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -53,8 +53,8 @@
         logger.info("configuration read again: discovery at {}", config.discovery)
         if config.discovery != old.discovery:
             lists.put(Moved(config.discovery))
-        told = [f.name for f in fields(Config) if getattr(config, f.name) != getattr(old, f.name)]
-        if late := sorted(set(told) - AT_ONCE):
+        changed = {f.name for f in fields(Config) if getattr(config, f.name) != getattr(old, f.name)}
+        if late := sorted(changed - AT_ONCE):
             logger.warning("configuration: only a restart can change {}", ", ".join(late))
 
     loop.set_exception_handler(fault)
--- a/meadowworks/node/listener.py
+++ b/meadowworks/node/listener.py
@@ -20,13 +20,12 @@
 from meadowworks.node.messages import (
     BEAT_OK,
     LINE_MOST,
-    Asked,
     Attach,
     Beat,
     Collector,
     End,
-    Met,
     News,
+    Report,
     Spoken,
     Told,
     Unreadable,
@@ -201,7 +200,7 @@
             return
         self.unreadable = 0
         if self.mailbox:
-            self.mailbox.put(said, report=isinstance(said, Met | Asked))
+            self.mailbox.put(said, report=isinstance(said, Report))
         else:
             self.first(said)
 
--- a/meadowworks/node/messages.py
+++ b/meadowworks/node/messages.py
@@ -152,10 +152,11 @@
     """The module's one timer has come due."""
 
 
-Spoken = Beat | Collector | Attach | Done | Met | Asked
+Report = Met | Asked | Done  # the stalest gives way where a mailbox is full
+Spoken = Beat | Collector | Attach | Report
 Told = Spoken | Message | End  # to the actor of a connection
 Follow = Track | Moved  # to the list's actor
-News = Joined | Left | Met | Asked | Done | Listing | ListFailed | Due  # to the module's actor
+News = Joined | Left | Report | Listing | ListFailed | Due  # to the module's actor
 BEAT_OK = b"hb_ok\r\n"
 
 
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -457,7 +457,7 @@
                 view.calls = min(CAP * total, old * min(1.0, max(LEAST_CUT, cut)) + GAIN * total)
         # What was answered lately can be answered again: guards against a level that feeds on itself.
         weight = sum(b.weight for b in self.backends.values() if b.ready) + 1e-9
-        self.proven = proven = -self.lowest(now, self.best, -total / weight) * weight
+        self.proven = -self.lowest(now, self.best, -total / weight) * weight
         # Guards against one zone's jam that starves the calm ones, and their ease that feeds it.
         heard = [v for v in self.views if v.calls >= 0]
         torn = any(v.jam for v in heard) and any(v.calm and not v.jam for v in heard)
@@ -465,22 +465,22 @@
         for view in self.views:
             part = PROVEN_CALM if (view.calm if torn else all(v.calm for v in self.views)) else PROVEN
             mine = (fold + view.calls) / 2 if torn and view.jam else max(fold, torn * view.calls)
-            budgets.append(max(mine, part * proven) if heard else -1.0)
+            budgets.append(max(mine, part * self.proven) if heard else -1.0)
         return budgets
 
     def spend(self, now: int) -> None:
-        users, names = self.proxies.values(), range(len(self.set.routes))
-        each = [[p.asked.get(k, (0.0, 0))[0] for p in users] for k in names]
+        routes = self.set.routes
+        each = [[p.asked.get(k, (0.0, 0))[0] for p in self.proxies.values()] for k in range(len(routes))]
         asked = [sum(rates) + 1e-9 for rates in each]
         self.asking = sum(asked)
-        self.slo_ns = sum(a * r.slo_ns for a, r in zip(asked, self.set.routes, strict=True)) / self.asking
+        self.slo_ns = sum(a * r.slo_ns for a, r in zip(asked, routes, strict=True)) / self.asking
         budgets = self.estimate(now)
         if now - self.born_ns < FRESH_NS or min(budgets) < 0:
             return
         for view, left in zip(self.views, budgets, strict=True):
-            view.grants = [(1.0, 1)] * len(asked)
-            for importance in sorted({r.importance for r in self.set.routes}, reverse=True):
-                same = [k for k, r in enumerate(self.set.routes) if r.importance == importance]
+            view.grants = [(1.0, 1)] * len(routes)
+            for importance in sorted({r.importance for r in routes}, reverse=True):
+                same = [k for k, r in enumerate(routes) if r.importance == importance]
                 calls = sum(asked[k] for k in same)
                 level = max(FLOOR, min(1.0, left / calls))
                 left = max(0.0, left - level * calls)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -378,6 +378,21 @@
     asyncio.run(act())
 
 
+def test_answers_to_marks_beyond_a_connections_bound_give_way_as_reports_do(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(listener, "REPORTS_MOST", 3)
+
+    async def act() -> None:
+        peer = listener.Connection(asyncio.get_running_loop(), door()[0])
+        peer.connection_made(cast(asyncio.Transport, Transport()))
+        peer.data_received(b"attach id=2 site=a rps=1 new=1\r\n" + b"done id=2 seq=7 ms=1\r\n" * 9)
+        assert peer.mailbox is not None and len(peer.mailbox.items) == 3
+        peer.connection_lost(None)
+
+    asyncio.run(act())
+
+
 def test_a_peer_is_ended_for_what_goes_on_unread_and_not_for_lines_spoilt() -> None:
     async def act() -> None:
         here, module = door()
