Ease a server restarted under its name at once; a net abroad of warm servers alone

Cause, found by exploring the module: (1) a server that restarts under its name kept a warm one's weight until the zone's pace let ordinary orders go, up to a second, longer in a full channel; (2) the net beside a cold server took any server abroad, so a lone cold one there got three times the weight it enters with. Change: rules.settle ranks such a line with what drains; rules.wanted nets warm servers alone. Callables kept for later are partials, so that a module can be copied.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from statistics import median
 
 from meadowworks.host import Entry, Host, Settings
@@ -182,7 +183,7 @@
         if how == "error":  # the old list stands; ask again, each time later and never all at once
             wait = min(ASK_MOST, ASK_PART * 2**self.failures) * self.set.ask_within_ns
             self.failures += 1
-            return self.later(now + int(wait * (0.5 + self.chance())), lambda: self.host.track(True))
+            return self.later(now + int(wait * (0.5 + self.chance())), partial(self.host.track, True))
         self.failures = 0
         if how != "changes":
             named = {entry.backend for entry in entries}
@@ -210,7 +211,7 @@
             return
         b.ready = b.lost = self.set.only_draining_binds and (self.set.probes or b.rung < LAST)
         if b.lost:
-            self.later(self.ticked_ns + int(RECHECK * self.set.report_ns), lambda: self.hold(place, True))
+            self.later(self.ticked_ns + int(RECHECK * self.set.report_ns), partial(self.hold, place, True))
             if self.set.probes:
                 self.host.probe(place)
 
@@ -300,7 +301,8 @@
         # Guards against pushing over a cold server when the warm ones beside it go off at one stroke.
         frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
         lack = min(NET * frail, NET_MOST * sum(lines.values())) - sum(lines[p] for p in lines if p not in own)
-        net = {p: w for p, w in weights.items() if p not in lines and ready[p].split == split and lack > 0}
+        net = {p: w for p, w in weights.items()
+               if p not in lines and p in warm and ready[p].split == split and lack > 0}
         total = sum(net.values())
         return lines | {p: lack * w / total for p, w in net.items()}
 
@@ -323,7 +325,12 @@
                 have, want = self.tables[table], self.wanted(now, zone, split, home)
                 moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > LINE_STEP * w}
                 first = 2 if any(p in want for p in have) else 0
-                todo += [(first, -abs(have.get(p, 0.0) - w), table, p, w) for p, w in moved.items()]
+                # Guards against a server that restarts under its name and keeps a warm one's weight: it is
+                # eased as soon as what drains leaves.
+                held = {p: have.get(p, 0.0) for p in moved}
+                eased = {p for p, w in moved.items() if held[p] > w and self.cold(now, self.backends[p])}
+                todo += [(min(first, 1) if p in eased else first, -abs(held[p] - w), table, p, w)
+                         for p, w in moved.items()]
                 off = [(p, w, self.backends[p]) for p, w in have.items() if p not in want]
                 todo += [(1 if not b.ready or self.cold(now, b) else 2, -w, table, p, 0.0) for p, w, b in off]
             # Guards against an order larger than the channel: first a line before the last leaves, then what
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -471,3 +471,22 @@
             fleet.run(0.5)
         kept.append(fleet.module.views[0].keep)
     assert kept[0] < 0.85 and kept[1] > 1 - (1 - kept[0]) / 4
+
+
+def test_a_server_that_restarts_under_its_name_loses_a_warm_ones_weight_at_once() -> None:
+    fleet = started()
+    fleet.module.listed(fleet.now, "changes", [entry(2, 0, "draining")])  # an order went out: the pace binds
+    fleet.now += SECOND // 100
+    fleet.module.listed(fleet.now, "changes", [entry(0, 0, since=fleet.now)])
+    assert fleet.tables[0][0] < 0.3 * 2.0
+
+
+def test_the_net_beside_a_cold_server_is_of_warm_ones_alone() -> None:
+    fleet = started()
+    fleet.module.listed(fleet.now, "changes", [entry(b, 1, "gone") for b in (1, 3)])
+    fleet.run(2)
+    fleet.module.listed(fleet.now, "changes", [entry(1, 1, "ready", fleet.now), entry(5, 1, "gone")])
+    fleet.module.listed(fleet.now, "changes", [entry(0, 0, since=fleet.now)])
+    for _ in range(8):
+        fleet.run(0.5)
+        assert fleet.tables[0].get(1, 0.0) <= 0.2 + 1e-9 or fleet.now - 110 * SECOND > SETTINGS.cold_ns
