--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -83,6 +83,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:
+        from meadowworks import commands  # what a word needs, a controller's start does not
+
+        return commands.main()
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
     try:
--- /dev/null
+++ b/meadowworks/check/faults.py
@@ -0,0 +1,743 @@
+"""Seeded faults: one guard of a machine or of the module taken out each, to see that a property breaks.
+
+A fault names a function of the product and a piece of its text; while it is planted, that function's code is
+compiled from the changed text, so everybody who calls it, wherever they got it from, runs the fault. A piece
+that is not there exactly once is an error: the table must follow the code.
+"""
+
+from __future__ import annotations
+import __future__
+
+import importlib
+import inspect
+import textwrap
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from types import CodeType, FunctionType
+from typing import Any
+
+from meadowworks.check.model import FAULT
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """`at` is module:function or module:Class.method; `was` becomes `now`; `breaks` names the properties of
+    which one must be found broken by `model`."""
+
+    name: str
+    model: str
+    at: str
+    was: str
+    now: str
+    breaks: tuple[str, ...]
+    depth: int = 0  # of the exploration, where the model's own is not enough
+    starts: tuple[int, ...] = ()  # the model's starts that matter, by place; none: all
+    large: bool = False  # only the larger worlds have room for it
+
+
+def function(at: str) -> FunctionType:
+    module, _, name = at.partition(":")
+    found: Any = importlib.import_module(module)
+    for part in name.split("."):
+        found = inspect.getattr_static(found, part)
+    if not isinstance(found, FunctionType):
+        raise ValueError(f"{at} is no function")
+    return found
+
+
+def changed(fault: Fault) -> CodeType:
+    """The function's code with the fault in it. Raises ValueError where the table does not fit the code."""
+    whole = function(fault.at)
+    text = textwrap.dedent(inspect.getsource(whole))
+    if text.count(fault.was) != 1:
+        raise ValueError(
+            f"fault {fault.name!r}: {fault.was!r} stands {text.count(fault.was)} times in {fault.at}"
+        )
+    names: dict[str, Any] = dict(whole.__globals__)
+    flags = __future__.annotations.compiler_flag
+    exec(compile(text.replace(fault.was, fault.now), whole.__code__.co_filename, "exec", flags), names)
+    made: Callable[..., Any] = names[whole.__name__]
+    code = made.__code__
+    if code.co_freevars != whole.__code__.co_freevars:
+        raise ValueError(f"fault {fault.name!r}: {fault.at} closes over names")
+    return code
+
+
+@contextmanager
+def planted(fault: Fault) -> Iterator[None]:
+    """The product with the fault in it, in this process and those it forks meanwhile."""
+    whole = function(fault.at)
+    code, whole.__code__ = whole.__code__, changed(fault)
+    try:
+        yield
+    finally:
+        whole.__code__ = code
+
+
+AGAIN, MACHINE = "meadowworks.attempts.again:", "meadowworks.attempts.machine:Attempts."
+ATTEMPT = (
+    Fault(
+        "a mutating call is tried again after any failure",
+        "attempt",
+        AGAIN + "may_follow",
+        "if not sure(tries) and not (way.repeatable and policy >= AFTER_ANY):",
+        "if not sure(tries) and policy < AFTER_ANY:",
+        ("mutating once",),
+    ),
+    Fault(
+        "way 1 needs no proof",
+        "attempt",
+        AGAIN + "may_follow",
+        "way.repeatable and policy >= AFTER_ANY",
+        "way.repeatable",
+        ("as ordered",),
+    ),
+    Fault(
+        "one further try too many",
+        "attempt",
+        AGAIN + "may_follow",
+        "len(tries) > FURTHER[policy]",
+        "len(tries) > FURTHER[policy] + 1",
+        ("two further tries", "as ordered"),
+    ),
+    Fault(
+        "a further try with no time left",
+        "attempt",
+        AGAIN + "again",
+        "max(1, way.least_ns)",
+        "0",
+        ("in time",),
+    ),
+    Fault(
+        "a further try at the same backend",
+        "attempt",
+        AGAIN + "again",
+        "{one.backend for one in tries}",
+        "()",
+        ("another backend",),
+    ),
+    Fault("any proof is proof of all", "attempt", AGAIN + "sure", "all(", "any(", ("truthful",)),
+    Fault(
+        "a drained backend's line is kept",
+        "attempt",
+        MACHINE + "ordered",
+        "Table(lines, level, policy)",
+        "Table(self.tables[route].lines | lines, level, policy)",
+        ("none to the drained",),
+    ),
+    Fault(
+        "the way stays when the order changes",
+        "attempt",
+        MACHINE + "ordered",
+        "Table(lines, level, policy)",
+        "Table(lines, level, max(policy, self.tables[route].policy))",
+        ("as ordered",),
+    ),
+    Fault(
+        "a client's repeat runs beside its first",
+        "attempt",
+        MACHINE + "came",
+        "if call is not None and call.over is None:",
+        "if call is not None and call.over is None and not repeat:",
+        ("truthful",),
+    ),
+    Fault(
+        "a repeat that is not known here runs",
+        "attempt",
+        MACHINE + "came",
+        "repeat and not way.repeatable",
+        "False",
+        ("mutating once",),
+    ),
+    Fault(
+        "what may have run is forgotten when it is asked again",
+        "attempt",
+        MACHINE + "came",
+        'call.over.kind == "answered" or call.over.may_have_run and not way.repeatable',
+        'call.over.kind == "answered"',
+        ("mutating once",),
+    ),
+    Fault(
+        "everybody is let in and some are told no",
+        "attempt",
+        MACHINE + "came",
+        'return self.host.final(key, asker, Final("throttled", False, back_ns))',
+        'self.host.final(key, asker, Final("throttled", False, back_ns))',
+        ("told while waiting", "one final answer"),
+    ),
+    Fault(
+        "throttled ones are not told",
+        "attempt",
+        MACHINE + "came",
+        'return self.host.final(key, asker, Final("throttled", False, back_ns))',
+        "return None",
+        ("throttled at once", "answered at last"),
+    ),
+    Fault(
+        "throttled ones are told to come back at once",
+        "attempt",
+        AGAIN + "come_back_ns",
+        "int(pace_ns *",
+        "int(0 *",
+        ("come back",),
+    ),
+    Fault(
+        "a call that may have run may be asked again",
+        "attempt",
+        MACHINE + "give_up",
+        "ran and not self.ways[call.route].repeatable",
+        "False",
+        ("come back", "mutating once"),
+    ),
+    Fault(
+        "what may have run is told as never run",
+        "attempt",
+        MACHINE + "give_up",
+        "ran = not sure(",
+        "ran = False and not sure(",
+        ("truthful",),
+    ),
+    Fault(
+        "a try that ended ends again",
+        "attempt",
+        MACHINE + "replied",
+        "if one.state not in (SENT, LATE, CANCELLED):",
+        "if False:",
+        ("precise",),
+    ),
+    Fault(
+        "proof that comes late is not kept",
+        "attempt",
+        MACHINE + "replied",
+        "elif sure([*call.tries.values()]):",
+        "elif False:",
+        ("precise",),
+    ),
+    Fault(
+        "a late answer is not kept",
+        "attempt",
+        MACHINE + "replied",
+        'call.over = Final("answered", True, NO_BACK)',
+        "pass",
+        ("answers kept",),
+    ),
+    Fault(
+        "a try that was given up is followed again",
+        "attempt",
+        MACHINE + "replied",
+        "if waited:",
+        "if True:",
+        ("not given up early",),
+    ),
+    Fault(
+        "a late try is waited for without end",
+        "attempt",
+        MACHINE + "tick",
+        "one.state = LATE",
+        "pass",
+        ("one at a time",),
+    ),
+    Fault(
+        "what is given up is held until its limit",
+        "attempt",
+        MACHINE + "follow",
+        "self.give_up(now, key, call)",
+        "heapq.heappush(self.due, (call.limit_ns, key))",
+        ("nothing held",),
+    ),
+    Fault(
+        "who went away is still told",
+        "attempt",
+        MACHINE + "cancelled",
+        "call.askers.remove(asker)",
+        "pass",
+        ("told while waiting",),
+    ),
+    Fault(
+        "a call is tried again for nobody",
+        "attempt",
+        MACHINE + "follow",
+        "table.policy if call.askers else 0",
+        "table.policy",
+        ("for somebody",),
+    ),
+    Fault(
+        "answers are kept without bound",
+        "attempt",
+        MACHINE + "end",
+        "len(self.kept) > self.kept_most",
+        "False",
+        ("bounded",),
+    ),
+    Fault(
+        "a call is over and its askers wait",
+        "attempt",
+        MACHINE + "end",
+        "for asker in askers:",
+        "for asker in askers[1:]:",
+        ("answered at last", "nothing held"),
+    ),
+    Fault(
+        "a kept answer stays for ever as under way",
+        "attempt",
+        MACHINE + "end",
+        "call.over = told",
+        "pass",
+        ("nothing held", "within the limit", "answered at last", "one final answer"),
+    ),
+)
+LIFE, STREAMS = "meadowworks.node.life:Life.", "meadowworks.node.streams:Streams."
+CROWD, ORDERS, BOX = (
+    "meadowworks.node.crowd:Crowd.",
+    "meadowworks.node.orders:Orders.",
+    "meadowworks.node.mailbox:",
+)
+STRANGER = "not self.over and not self.first"
+CONNECTION = (
+    Fault(
+        "an old stream is not ended when a newer one comes",
+        "connection",
+        STREAMS + "joined",
+        'old.put(End("replaced by a new one"))',
+        "pass",
+        ("replaced ones end",),
+        starts=(3,),
+    ),
+    Fault(
+        "the end of a replaced stream takes the proxy's table",
+        "connection",
+        STREAMS + "left",
+        "self.by_proxy.get(proxy) is not stream",
+        "proxy not in self.by_proxy",
+        ("stays", "newest"),
+        starts=(1,),
+    ),
+    Fault(
+        "marks of the stream before count",
+        "connection",
+        STREAMS + "joined",
+        "self.marks[proxy] = deque(maxlen=MARKS_KEPT)",
+        "self.marks.setdefault(proxy, deque(maxlen=MARKS_KEPT))",
+        ("marks count",),
+        starts=(1,),
+    ),
+    Fault(
+        "any mark counts",
+        "connection",
+        STREAMS + "answered",
+        "if mark not in out:\n        return False",
+        "if mark not in out:\n        return True",
+        ("marks count",),
+        starts=(1,),
+    ),
+    Fault(
+        "a stranger's reports are passed on",
+        "connection",
+        LIFE + "said",
+        'self.refuse("has not joined")',
+        "self.line.tell(item, True)",
+        ("nothing from strangers",),
+        starts=(1,),
+    ),
+    Fault(
+        "a spoilt line ends a peer",
+        "connection",
+        LIFE + "spoilt",
+        STRANGER,
+        "not self.over",
+        ("spoilt alone",),
+        starts=(2,),
+    ),
+    Fault(
+        "a stranger's spoilt line is passed over",
+        "connection",
+        LIFE + "spoilt",
+        'self.refuse("cannot be read")',
+        "pass",
+        ("spoilt alone",),
+        starts=(2,),
+    ),
+    Fault(
+        "rubbish never ends a peer",
+        "connection",
+        LIFE + "babbled",
+        "self.unreadable >= self.bounds.unreadable",
+        "False",
+        ("rubbish ends",),
+        starts=(0,),
+    ),
+    Fault(
+        "one line of rubbish ends a peer",
+        "connection",
+        LIFE + "babbled",
+        "self.unreadable >= self.bounds.unreadable",
+        "True",
+        ("rubbish ends",),
+        starts=(0,),
+    ),
+    Fault(
+        "a line without an end is waited for",
+        "connection",
+        LIFE + "unended",
+        'self.end("a line too long")',
+        "pass",
+        ("rubbish ends",),
+        starts=(0,),
+    ),
+    Fault(
+        "who asks for a sign of life may stay",
+        "connection",
+        LIFE + "late",
+        STRANGER,
+        STRANGER + " and not self.line.unsent()",
+        ("strangers end",),
+        starts=(0,),
+    ),
+    Fault(
+        "strangers are waited for without end",
+        "connection",
+        LIFE + "late",
+        'self.refuse("no name in time")',
+        "pass",
+        ("strangers end",),
+        starts=(4,),
+    ),
+    Fault(
+        "peers give way for others",
+        "connection",
+        LIFE + "said",
+        "self.line.named()",
+        "pass",
+        ("peers stay",),
+        starts=(4,),
+    ),
+    Fault(
+        "one too many is taken in",
+        "connection",
+        CROWD + "full",
+        "self.open >= self.most",
+        "self.open > self.most",
+        ("descriptors",),
+        starts=(4,),
+    ),
+    Fault(
+        "descriptors are not given back",
+        "connection",
+        CROWD + "gone",
+        "self.open -= 1",
+        "pass",
+        ("descriptors",),
+        starts=(4,),
+    ),
+    Fault(
+        "who reads nothing is written to without end",
+        "connection",
+        LIFE + "write",
+        "self.line.unsent() > self.bounds.unsent",
+        "False",
+        ("unread bounded",),
+        starts=(0,),
+    ),
+    Fault(
+        "writes go on after the end",
+        "connection",
+        LIFE + "write",
+        "if self.over:",
+        "if self.gone:",
+        ("nothing after the end",),
+        starts=(0,),
+    ),
+    Fault(
+        "a leaving is told twice",
+        "connection",
+        LIFE + "finish",
+        "if self.gone:",
+        "if False:",
+        ("in order",),
+        starts=(3,),
+    ),
+    Fault(
+        "an actor that ends says nothing",
+        "connection",
+        LIFE + "finish",
+        "self.line.tell(self.line.left(self.first), False)",
+        "pass",
+        ("leaves at last",),
+        starts=(3,),
+    ),
+    Fault(
+        "an end is not told to the actor",
+        "connection",
+        LIFE + "lost",
+        "self.line.put(End(self.over), False)",
+        "pass",
+        ("leaves at last",),
+        starts=(3,),
+    ),
+    Fault(
+        "signs of life are not answered by a peer",
+        "connection",
+        LIFE + "take",
+        "case Beat():\n            self.write(BEAT_OK)",
+        "case Beat():\n            pass",
+        ("signs of life",),
+        starts=(0,),
+    ),
+    Fault(
+        "a change goes out before the table",
+        "connection",
+        ORDERS + "bind",
+        "self.fresh.setdefault(proxy, set()).add(number)",
+        "pass",
+        ("changes fit", "bound at last", "tables agree"),
+        starts=(3,),
+    ),
+    Fault(
+        "reports push a mailbox over its bound",
+        "connection",
+        BOX + "Mailbox.put",
+        "self.reports >= self.most_reports",
+        "False",
+        (FAULT, "mailboxes"),
+        starts=(1,),
+    ),
+)
+
+BUDGET, HOLDER = "meadowworks.grants.machine:Budget.", "meadowworks.grants.machine:Holder."
+GRANTS = (
+    Fault(
+        "a grant counts as given back when a smaller one was sent",
+        "grants",
+        BUDGET + "held",
+        "max(shares) if self.handoff else shares[-1]",
+        "shares[-1]",
+        ("under the estimate",),
+        starts=(0,),
+    ),
+    Fault(
+        "what is under way is not reserved",
+        "grants",
+        BUDGET + "held",
+        "account.under_way, max(shares)",
+        "0, max(shares)",
+        ("under the estimate",),
+        starts=(0,),
+    ),
+    Fault(
+        "views are summed",
+        "grants",
+        BUDGET + "estimate",
+        "median(a.view",
+        "sum(a.view",
+        ("granted under it", "under the estimate"),
+        starts=(0,),
+    ),
+    Fault(
+        "shares are dealt without the budget",
+        "grants",
+        BUDGET + "heard",
+        "estimate - others",
+        "estimate",
+        ("granted under it", "under the estimate"),
+        starts=(0,),
+    ),
+    Fault(
+        "an older report counts again",
+        "grants",
+        BUDGET + "heard",
+        "if report.sent_ns + self.lease_ns <= max(now, account.expires_ns - 1):",
+        "if False:",
+        ("under the estimate", "newer only", "fenced"),
+        large=True,
+        starts=(7,),
+    ),
+    Fault(
+        "grants are forgotten before they are confirmed",
+        "grants",
+        BUDGET + "heard",
+        "if n >= report.number",
+        "if n > report.number",
+        ("under the estimate", "granted under it"),
+        starts=(0,),
+    ),
+    Fault(
+        "one share is never dealt",
+        "grants",
+        BUDGET + "heard",
+        "estimate - others))",
+        "estimate - others - 1))",
+        ("a share at last",),
+        starts=(0,),
+    ),
+    Fault(
+        "an overtaken grant is gone by",
+        "grants",
+        HOLDER + "granted",
+        "if grant.number <= self.number:",
+        "if False:",
+        ("newer only",),
+        starts=(3,),
+    ),
+    Fault(
+        "a holder goes over its share by one",
+        "grants",
+        HOLDER + "begin",
+        "self.under_way >= self.share",
+        "self.under_way > self.share",
+        ("within the share",),
+        starts=(0,),
+    ),
+    Fault(
+        "a holder that is cut off goes on",
+        "grants",
+        HOLDER + "fence",
+        "if now < self.until_ns or not self.under_way:",
+        "if True:",
+        ("fenced",),
+        starts=(2,),
+    ),
+    Fault(
+        "a lease runs from when its grant came",
+        "grants",
+        HOLDER + "granted",
+        "grant.sent_ns + self.span_ns",
+        "max(self.until_ns, grant.sent_ns) + self.span_ns",
+        ("fenced",),
+        starts=(2,),
+    ),
+)
+
+RULES = "meadowworks.rules:Controller."
+MODULE = (
+    Fault(
+        "what drains goes with the rest, at the usual pace",
+        "module",
+        RULES + "settle",
+        "1 if not b.ready or self.cold(now, b) else 2",
+        "2",
+        ("drains first",),
+        starts=(1,),
+    ),
+    Fault(
+        "a restarted server's line goes with the rest",
+        "module",
+        RULES + "settle",
+        "min(first, 1) if p in eased else first",
+        "first",
+        ("cold ones spared",),
+        starts=(3,),
+    ),
+    Fault(
+        "a net abroad of cold servers",
+        "module",
+        RULES + "wanted",
+        "p in warm and",
+        "",
+        ("cold ones spared",),
+        starts=(3,),
+    ),
+    Fault(
+        "a drained backend stays in the tables",
+        "module",
+        RULES + "listed",
+        'known.ready, known.lost, known.gone_ns = entry.state == "ready", False, 0',
+        "known.ready, known.lost, known.gone_ns = True, False, 0",
+        ("drains kept",),
+    ),
+    Fault(
+        "what a whole list lacks stays",
+        "module",
+        RULES + "listed",
+        "if place not in named:",
+        "if False:",
+        ("drains kept",),
+        starts=(1,),
+    ),
+    Fault(
+        "a start under an old name is not seen",
+        "module",
+        RULES + "listed",
+        "if entry.since_ns > known.since_ns:",
+        "if False:",
+        ("cold ones spared",),
+    ),
+    Fault(
+        "a cold backend enters whole",
+        "module",
+        RULES + "part",
+        "RAMP_PART * least if step else ENTRY",
+        "1.0",
+        ("cold ones spared",),
+    ),
+    Fault(
+        "the ramp runs ahead of its age",
+        "module",
+        RULES + "part",
+        "if age >= start",
+        "if age >= start / 2",
+        ("cold ones spared",),
+    ),
+    Fault(
+        "who was not bound at once never is",
+        "module",
+        RULES + "tick",
+        "self.bind(now, number)",
+        "pass",
+        ("never without a backend",),
+        starts=(5,),
+    ),
+    Fault(
+        "the channel's queue is not looked at",
+        "module",
+        RULES + "take",
+        "if lines + rest < least or lines > most and not part:",
+        "if False:",
+        ("queue short",),
+        depth=4,
+        starts=(4,),
+    ),
+    Fault(
+        "messages to a proxy are not counted",
+        "module",
+        RULES + "take",
+        "len(proxy.sent) + 1 > self.set.messages_most * (1 - keep)",
+        "False",
+        ("few messages",),
+        starts=(6,),
+    ),
+    Fault(
+        "any failure is tried again",
+        "module",
+        RULES + "spend",
+        "round(level / LEVEL_STEP) * LEVEL_STEP, 1",
+        "round(level / LEVEL_STEP) * LEVEL_STEP, 2",
+        ("no effect twice",),
+        starts=(1,),
+    ),
+    Fault(
+        "the least important goes last to nothing",
+        "module",
+        RULES + "spend",
+        "reverse=True",
+        "reverse=False",
+        ("important first", "budget in order"),
+    ),
+    Fault(
+        "lines that were taken out are not noted",
+        "module",
+        RULES + "settle",
+        "del self.tables[table][place]",
+        "pass",
+        ("tables held", FAULT),
+    ),
+    Fault(
+        "levels fall to nothing",
+        "module",
+        RULES + "spend",
+        "max(FLOOR, min(1.0, left / calls))",
+        "min(1.0, left / calls)",
+        ("levels sane",),
+    ),
+)
+FAULTS = (*ATTEMPT, *CONNECTION, *GRANTS, *MODULE)
--- /dev/null
+++ b/meadowworks/check/models/connection.py
@@ -0,0 +1,710 @@
+"""The life of connections: `node.life.Life`, `node.crowd.Crowd`, `node.streams.Streams`, `node.orders.Orders`
+and `node.mailbox.Mailbox` among peers that say and read what they like, in every order.
+
+Two connections say that they are the same proxy, an older and a newer one; a third is a stranger that never
+joins. Both actors' mailboxes and the module's are queues that are taken from whenever the explorer likes, so
+that whatever is under way may be overtaken. The module here only binds who joins and orders changes.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, fields, replace
+from functools import cache, partial
+from typing import Any
+
+from meadowworks.check.model import Live, Model, Property, Step, taken
+from meadowworks.node.crowd import Crowd
+from meadowworks.node.life import Bounds, Life
+from meadowworks.node.mailbox import Mailbox
+from meadowworks.node.messages import (
+    BEAT_OK,
+    Asked,
+    Attach,
+    Beat,
+    Collector,
+    Done,
+    End,
+    Joined,
+    Left,
+    Message,
+    News,
+    Told,
+)
+from meadowworks.node.orders import Orders
+from meadowworks.node.streams import Streams
+
+BOUNDS = Bounds(unsent=1, unreadable=2, strange=1)  # messages, lines and bytes that a world has room for
+REPORTS_MOST = 1
+LAST = b"reject"  # how a last word begins
+AWAY, HERE, DEAF, SHUT = range(4)  # the other side: not yet dialled; reads; reads nothing; has closed
+PROXY = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """Who dials: attaching proxies first, then strangers. Budgets are of each connection."""
+
+    proxies: int = 2
+    strangers: int = 0
+    descriptors: int = 2
+    beats: int = 1
+    rubbish: int = 2
+    spoilt: int = 1
+    marks: int = 1
+    orders: int = 1  # of the module, beside the tables that come with a joining
+    deaf: bool = True
+
+
+class Side:
+    """One connection: the controller's end of it as the life's host, and what the other end does."""
+
+    def __init__(self, world: World, place: int) -> None:
+        self.world, self.place = world, place
+        self.life = Life(self, world.knows, BOUNDS)
+        self.box: Mailbox[Told] = Mailbox(REPORTS_MOST)
+        self.other = AWAY
+        self.open = False  # the transport, as the controller sees it
+        self.told_lost = False
+        self.hired = self.begun = False
+        self.unread = 0  # messages written that the other end has not read
+        self.full = False  # the other end has been told a table
+        self.holds: dict[str, float] = {}
+        self.seen: list[int] = []  # marks that came with what it read
+        self.left_of = [world.scene.beats, world.scene.rubbish, world.scene.spoilt, world.scene.marks]
+        self.beats_owed = 0
+
+    def write(self, data: bytes) -> None:
+        self.world.did.append(("write", self.place, self.open, bool(self.life.first), data[:6]))
+        if data == BEAT_OK:
+            self.beats_owed -= 1
+        if self.other == DEAF:
+            self.unread += 1
+        elif self.other == HERE and data.startswith(b"assign"):
+            self.read(data.decode())
+
+    def read(self, text: str) -> None:
+        """As a proxy does: a full table in the place of the old one, a change to it."""
+        for line in text.split("\r\n")[:-1]:
+            says = dict(word.partition("=")[::2] for word in line.split()[1:])
+            if "full" in says:
+                self.holds, self.full = {}, True
+            elif "endpoints" in says and not self.full:
+                self.world.did.append(("change without a table", self.place))
+            for pair in filter(None, says.get("endpoints", "").split(",")):
+                name, _, weight = pair.partition(":")
+                self.holds[name] = float(weight)
+            if "nonce_out" in says:
+                self.seen.append(int(says["nonce_out"]))
+
+    def unsent(self) -> int:
+        return self.unread
+
+    def close(self) -> None:
+        self.open = False
+
+    def abort(self) -> None:
+        self.open = False
+
+    def named(self) -> None:
+        self.world.crowd.named(self.place)
+
+    def employ(self, first: Attach | Collector) -> None:
+        self.hired = True
+
+    def put(self, item: Told, report: bool) -> None:
+        self.box.put(item, report)
+
+    def joined(self, first: Attach) -> Joined:
+        return Joined(first, self.box)
+
+    def left(self, first: Attach) -> Left:
+        return Left(first.proxy, self.box)
+
+    def tell(self, item: News, report: bool) -> None:
+        self.world.did.append(("told", self.place, type(item).__name__, bool(self.life.first)))
+        self.world.module.put(item, report)
+
+    def count(self, what: str) -> None:
+        """Counted in the product; here no outcome hangs on it."""
+
+
+@dataclass(slots=True)
+class Heard:
+    """What the module has been told of one connection."""
+
+    state: int = 0  # 0: nothing, 1: joined, 2: left
+    marks: list[int] = field(default_factory=list)  # sent on it, as the world knows
+
+
+class World:
+    def __init__(self, scene: Scene) -> None:
+        self.scene = scene
+        self.did: list[tuple[Any, ...]] = []
+        self.now = 0
+        self.module: Mailbox[News] = Mailbox(REPORTS_MOST)
+        self.orders = Orders(("all",), {0: "b"})
+        self.streams = Streams(self.orders)
+        self.crowd: Crowd[int] = Crowd(scene.descriptors, 0)
+        self.sides = [Side(self, k) for k in range(scene.proxies + scene.strangers)]
+        self.heard = [Heard() for _ in self.sides]
+        self.orders_left, self.mark, self.weight = scene.orders, 0, 1.0
+        self.bound = -1  # which connection the module takes the proxy to be on
+        self.orders.set_line(0, 0, 1.0)
+        for _ in self.streams.send():
+            pass
+
+    def knows(self, first: Attach | Collector) -> bool:
+        return isinstance(first, Attach) and first.proxy == PROXY
+
+    def enabled(self) -> Iterable[Step]:
+        found: list[Step] = []
+        for k, side in enumerate(self.sides):
+            if side.other == AWAY:
+                if not self.crowd.full():
+                    found.append(("dial", k))
+                elif self.crowd.strangers:
+                    found.append(("crowd", k))
+                continue
+            if side.other in (HERE, DEAF):
+                found.append(("shut", k))
+                if side.open:
+                    found += self.says(k, side)
+            if side.other == HERE and self.scene.deaf:
+                found.append(("deafen", k))
+            if side.open and not side.life.first and not side.life.over:
+                found.append(("late", k))
+            if not side.told_lost and (not side.open or side.other == SHUT):
+                found.append(("lost", k))
+            if side.hired and not side.begun:
+                found.append(("begin", k))
+            elif side.begun and side.box.items and not side.life.gone:
+                found.append(("act", k))
+        if self.module.items:
+            found.append(("module",))
+        if self.orders_left and self.bound >= 0:
+            found.append(("order",))
+        return found
+
+    def says(self, k: int, side: Side) -> list[Step]:
+        beats, rubbish, spoilt, marks = side.left_of
+        found: list[Step] = []
+        if k < self.scene.proxies and not side.life.first:
+            found.append(("attach", k))
+        if beats:
+            found.append(("beat", k))
+        if rubbish:
+            found += [("rubbish", k), ("long", k)]
+        if spoilt:
+            found.append(("spoilt", k))
+        if marks:
+            found += [("mark", k, mark) for mark in sorted({max(s.seen, default=0) for s in self.sides})]
+            if not side.life.first:
+                found.append(("usage", k))
+        return found
+
+    def do(self, step: Step) -> None:
+        self.did = []
+        kind, *what = step
+        getattr(self, "do_" + kind)(*what)
+
+    # -- the other ends
+
+    def do_dial(self, k: int) -> None:
+        side = self.sides[k]
+        side.other, side.open = HERE, True
+        self.crowd.come(self.now, k)
+
+    def do_crowd(self, k: int) -> None:
+        """Somebody waits for a descriptor, and there is none."""
+        self.now += 1
+        oldest, _ = self.crowd.gives_way(self.now)
+        if oldest is not None:
+            self.did.append(("gave way", bool(self.sides[oldest].life.first)))
+            self.sides[oldest].life.crowded()
+
+    def do_attach(self, k: int) -> None:
+        self.sides[k].life.said(Attach(PROXY, "z", 1.0, True))
+
+    def spend(self, k: int, which: int) -> Side:
+        self.sides[k].left_of[which] -= 1
+        return self.sides[k]
+
+    def do_beat(self, k: int) -> None:
+        side = self.spend(k, 0)
+        side.beats_owed += 1
+        side.life.said(Beat())
+
+    def do_rubbish(self, k: int) -> None:
+        side = self.spend(k, 1)
+        run, was = side.life.unreadable, side.life.over
+        side.life.babbled()
+        self.did.append(("rubbish", k, run + 1, was, side.life.over, bool(side.life.first)))
+
+    def do_long(self, k: int) -> None:
+        side = self.spend(k, 1)
+        side.life.unended(BOUNDS.strange + 1, True)
+        self.did.append(("long", k, side.life.over))
+
+    def do_spoilt(self, k: int) -> None:
+        side = self.spend(k, 2)
+        was = side.life.over
+        side.life.spoilt()
+        self.did.append(("spoilt", k, was, side.life.over, bool(side.life.first)))
+
+    def do_mark(self, k: int, mark: int) -> None:
+        self.spend(k, 3).life.said(Done(PROXY, mark))
+
+    def do_usage(self, k: int) -> None:
+        self.spend(k, 3).life.said(Asked(PROXY, "all", 1, 0, 1))
+
+    def do_deafen(self, k: int) -> None:
+        self.sides[k].other = DEAF
+
+    def do_shut(self, k: int) -> None:
+        self.sides[k].other = SHUT
+
+    # -- the controller
+
+    def do_late(self, k: int) -> None:
+        self.sides[k].life.late()
+
+    def do_lost(self, k: int) -> None:
+        side = self.sides[k]
+        side.open, side.told_lost = False, True
+        self.crowd.gone(k)
+        side.life.lost("closed")
+
+    def do_begin(self, k: int) -> None:
+        self.sides[k].begun = True
+        self.sides[k].life.begin()
+
+    def do_act(self, k: int) -> None:
+        side = self.sides[k]
+        report, item = side.box.items.popleft()
+        side.box.reports -= report
+        side.life.take(item)
+        if side.life.gone:
+            side.life.finish("its actor ended")  # as the actor does whatever ended it
+
+    def do_module(self) -> None:
+        report, item = self.module.items.popleft()
+        self.module.reports -= report
+        match item:
+            case Joined(attach, stream):
+                k = self.place(stream)
+                self.did.append(("joined", k, self.heard[k].state))
+                self.heard[k].state = 1
+                self.streams.joined(attach.proxy, stream)
+                self.bound = k
+                self.orders.bind(0, attach.proxy, 0)
+                self.flush()
+            case Left(proxy, stream):
+                k = self.place(stream)
+                self.did.append(("left", k, self.heard[k].state))
+                self.heard[k].state = 2
+                if self.streams.left(proxy, stream):
+                    self.did.append(("unbound", k, self.bound))
+                    self.bound = -1
+            case Done(proxy, mark):
+                counted = self.streams.answered(proxy, mark)
+                sent = self.bound >= 0 and mark in self.heard[self.bound].marks
+                self.did.append(("answered", counted, sent))
+            case _:
+                pass
+
+    def do_order(self) -> None:
+        self.orders_left -= 1
+        self.weight = 3.0 - self.weight
+        self.orders.set_line(0, 0, self.weight)
+        self.flush()
+
+    def flush(self) -> None:
+        self.mark += 1
+        self.orders.mark = self.mark
+        for _ in self.streams.send():
+            if self.bound >= 0:
+                self.heard[self.bound].marks.append(self.mark)
+
+    def place(self, box: Mailbox[Told]) -> int:
+        return next(k for k, side in enumerate(self.sides) if side.box is box)
+
+    # -- states
+
+    def item(self, item: Any) -> Any:
+        """An item of a mailbox without the mailboxes that it names."""
+        match item:
+            case Joined(_, stream):
+                return "joined", self.place(stream)
+            case Left(_, stream):
+                return "left", self.place(stream)
+            case Message(text, parts):
+                return "message", text, parts
+            case Done(_, mark):
+                return "done", mark
+            case End(why):
+                return "end", why
+            case Beat():
+                return ("beat",)
+            case Asked():
+                return ("asked",)
+            case _:
+                return ("attach",)
+
+    def whole(self, told: tuple[Any, ...]) -> Any:
+        match told:
+            case "joined", place:
+                return Joined(Attach(PROXY, "z", 1.0, True), self.sides[place].box)
+            case "left", place:
+                return Left(PROXY, self.sides[place].box)
+            case "message", text, parts:
+                return Message(text, parts)
+            case "done", mark:
+                return Done(PROXY, mark)
+            case "end", why:
+                return End(why)
+            case ("beat",):
+                return Beat()
+            case ("asked",):
+                return Asked(PROXY, "all", 1, 0, 1)
+            case _:
+                return Attach(PROXY, "z", 1.0, True)
+
+    def key(self) -> Any:
+        sides: list[tuple[Any, ...]] = []
+        for k, s in enumerate(self.sides):
+            life, heard = s.life, self.heard[k]
+            if s.told_lost and (life.gone or not s.hired):
+                marks = tuple(heard.marks) if self.bound == k else ()
+                sides.append((SHUT, heard.state, marks))  # what it was makes no difference any more
+                continue
+            box = tuple([(r, *self.item(i)) for r, i in s.box.items])
+            sides.append(
+                (
+                    s.other,
+                    s.open,
+                    s.told_lost,
+                    s.hired,
+                    s.begun,
+                    s.unread,
+                    s.full,
+                    tuple(s.holds.items()),
+                    tuple(s.seen[-1:]),
+                    tuple(s.left_of),
+                    s.beats_owed,
+                    life.first is not None,
+                    life.over,
+                    life.gone,
+                    life.unreadable,
+                    box,
+                    heard.state,
+                    tuple(heard.marks),
+                )
+            )
+        module = tuple([(r, *self.item(i)) for r, i in self.module.items])
+        streams = tuple(
+            [(p, self.place(box), tuple(self.streams.marks[p])) for p, box in self.streams.by_proxy.items()]
+        )
+        return (
+            kind_of(self.scene),
+            tuple(sides),
+            module,
+            streams,
+            self.mark,
+            self.orders_left,
+            self.weight,
+            self.bound,
+            self.crowd.open,
+            tuple(self.crowd.strangers),
+        )
+
+    def freeze(self) -> Any:
+        return self.scene, self.now, self.key()
+
+
+@cache
+def kind_of(scene: Scene) -> tuple[int, ...]:
+    return tuple(int(getattr(scene, f.name)) for f in fields(scene))
+
+
+def thaw(state: Any) -> World:
+    scene, now, key = state
+    world = World.__new__(World)
+    world.scene, world.now, world.did = scene, now, []
+    (_, sides, module, streams, world.mark, world.orders_left, world.weight, world.bound, held, strangers) = (
+        key
+    )
+    world.module = Mailbox(REPORTS_MOST)
+    world.crowd = Crowd(scene.descriptors, 0)
+    world.crowd.open, world.crowd.strangers = held, dict.fromkeys(strangers, 0)
+    world.sides = [Side(world, k) for k in range(len(sides))]
+    world.heard = []
+    for s, kept in zip(world.sides, sides, strict=True):
+        if len(kept) == 3:
+            s.other, state_of, marks = kept
+            s.told_lost, s.life.over, s.life.gone = True, "closed", "closed"
+            world.heard.append(Heard(state_of, list(marks)))
+            continue
+        (
+            s.other,
+            s.open,
+            s.told_lost,
+            s.hired,
+            s.begun,
+            s.unread,
+            s.full,
+            holds,
+            seen,
+            left_of,
+            s.beats_owed,
+            named,
+            s.life.over,
+            s.life.gone,
+            s.life.unreadable,
+            _,
+            state_of,
+            marks,
+        ) = kept
+        s.holds, s.seen, s.left_of = dict(holds), list(seen), list(left_of)
+        s.life.first = Attach(PROXY, "z", 1.0, True) if named else None
+        world.heard.append(Heard(state_of, list(marks)))
+    for s, kept in zip(world.sides, sides, strict=True):
+        fill(world, s.box, kept[15] if len(kept) > 3 else ())
+    fill(world, world.module, module)
+    world.orders = Orders(("all",), {0: "b"})
+    world.orders.table(0).lines[0] = world.weight
+    world.streams = Streams(world.orders)
+    for proxy, place, marks in streams:
+        world.streams.by_proxy[proxy] = world.sides[place].box
+        world.streams.marks[proxy] = deque(marks, maxlen=64)
+        world.orders.bound[proxy] = (0,)
+        world.orders.table(0).users.add(proxy)
+    return world
+
+
+def fill(world: World, box: Mailbox[Any], items: Iterable[tuple[Any, ...]]) -> None:
+    for report, *told in items:
+        box.items.append((report, world.whole(tuple(told))))
+        box.reports += report
+
+
+# -- properties
+
+
+def events(world: World, kind: str) -> list[tuple[Any, ...]]:
+    return [event[1:] for event in world.did if event[0] == kind]
+
+
+def in_order(world: World) -> bool:
+    return all(state == 0 for _, state in events(world, "joined")) and all(
+        state == 1 for _, state in events(world, "left")
+    )
+
+
+def newest(world: World) -> bool:
+    """While the module takes a connection to be the proxy's, it is what orders are put to."""
+    box = world.streams.by_proxy.get(PROXY)
+    return (box is None) == (world.bound < 0) and (box is None or world.sides[world.bound].box is box)
+
+
+def stays(world: World) -> bool:
+    return all(k == bound for k, bound in events(world, "unbound"))
+
+
+def nothing_after_the_end(world: World) -> bool:
+    return all(open_to for _, open_to, *_ in events(world, "write"))
+
+
+def nothing_from_strangers(world: World) -> bool:
+    return all(named for *_, named in events(world, "told"))
+
+
+def spoilt_alone(world: World) -> bool:
+    return all(bool(was) == bool(over) if named else over for _, was, over, named in events(world, "spoilt"))
+
+
+def rubbish_ends(world: World) -> bool:
+    for _, run, was, over, named in events(world, "rubbish"):
+        if not was and bool(over) != (not named or run >= BOUNDS.unreadable):
+            return False
+    return all(over for _, over in events(world, "long"))
+
+
+def unread_bounded(world: World) -> bool:
+    return all(side.unread <= BOUNDS.unsent + 1 for side in world.sides)
+
+
+def descriptors(world: World) -> bool:
+    return world.crowd.open <= world.scene.descriptors and world.crowd.open == sum(
+        side.other != AWAY and not side.told_lost for side in world.sides
+    )
+
+
+def peers_stay(world: World) -> bool:
+    return not any(named for (named,) in events(world, "gave way"))
+
+
+def marks_count(world: World) -> bool:
+    return all(sent for counted, sent in events(world, "answered") if counted)
+
+
+def changes_fit(world: World) -> bool:
+    return not events(world, "change without a table")
+
+
+def mailboxes(world: World) -> bool:
+    boxes: list[Mailbox[Any]] = [world.module, *(side.box for side in world.sides)]
+    return all(box.reports <= REPORTS_MOST and box.reports == sum(r for r, _ in box.items) for box in boxes)
+
+
+def at_rest(world: World) -> bool:
+    """Nothing is under way to the proxy's stream."""
+    side = world.sides[world.bound]
+    return (
+        world.bound >= 0
+        and side.other == HERE
+        and side.open
+        and not side.box.items
+        and not world.module.items
+    )
+
+
+def tables_agree(world: World) -> bool:
+    return not at_rest(world) or world.sides[world.bound].holds == {"b": world.weight}
+
+
+def strangers_owe(world: World) -> bool:
+    return any(side.open and side.other in (HERE, DEAF) and not side.life.first for side in world.sides)
+
+
+def replaced_lives(world: World) -> bool:
+    """A connection that the module knows as joined, and that is not the proxy's any more, is still open."""
+    return any(
+        heard.state == 1 and k != world.bound and world.sides[k].open for k, heard in enumerate(world.heard)
+    )
+
+
+def unbound(world: World) -> bool:
+    """A peer that is there, reads and has said who it is waits for its table, alone with its number."""
+    named = [side for side in world.sides if side.life.first and not side.life.gone]
+    return len(named) == 1 and named[0].open and named[0].other == HERE and not named[0].full
+
+
+def beats_wait(world: World) -> bool:
+    return any(side.beats_owed > 0 and side.open and side.other == HERE for side in world.sides)
+
+
+def left_out(world: World) -> bool:
+    """A proxy whose connection is gone still counts as joined."""
+    return any(heard.state == 1 and world.sides[k].told_lost for k, heard in enumerate(world.heard))
+
+
+PROPERTIES = (
+    Property(
+        "in order", "the module hears of a stream's joining once, then of its leaving once", in_order, "step"
+    ),
+    Property("newest", "orders go to the stream that the proxy joined by last", newest),
+    Property("stays", "the end of a stream that was replaced takes nobody's table", stays, "step"),
+    Property(
+        "nothing after the end",
+        "nothing is written to a connection that is over",
+        nothing_after_the_end,
+        "step",
+    ),
+    Property(
+        "nothing from strangers",
+        "nothing is passed on of who has not said who it is",
+        nothing_from_strangers,
+        "step",
+    ),
+    Property(
+        "spoilt alone",
+        "a spoilt message costs a peer that message, a stranger its connection",
+        spoilt_alone,
+        "step",
+    ),
+    Property(
+        "rubbish ends", "what goes on with what cannot be read is ended, and not before", rubbish_ends, "step"
+    ),
+    Property("unread bounded", "who reads nothing is ended within the bound", unread_bounded),
+    Property(
+        "descriptors",
+        "no more connections are open than there are descriptors, and all are counted",
+        descriptors,
+    ),
+    Property("peers stay", "no peer is sent away for another's descriptor", peers_stay, "step"),
+    Property(
+        "marks count",
+        "an answer counts only for a mark that was sent on that very stream",
+        marks_count,
+        "step",
+    ),
+    Property("changes fit", "a change never comes to a stream before its table", changes_fit, "step"),
+    Property("mailboxes", "no mailbox holds more reports than its bound", mailboxes),
+    Property(
+        "tables agree", "with nothing under way, a proxy holds just the table it is bound to", tables_agree
+    ),
+)
+WORK = (taken("module"), *(taken(name, k) for name in ("late", "lost", "begin", "act") for k in range(3)))
+LIVES = (
+    Live("strangers end", "who never says who it is, is let go", strangers_owe, WORK),
+    Live("replaced ones end", "a stream that was replaced is ended", replaced_lives, WORK),
+    Live("bound at last", "a peer that is there is told its table", unbound, WORK),
+    Live("signs of life", "who asks for a sign of life has one, or its connection ends", beats_wait, WORK),
+    Live("leaves at last", "a proxy whose connection is gone has left", left_out, WORK),
+)
+SAYS = {
+    "dial": "connection {0} is taken in",
+    "crowd": "connection {0} waits, and there is no descriptor",
+    "attach": "connection {0} says it is the proxy",
+    "beat": "connection {0} asks for a sign of life",
+    "rubbish": "connection {0} says what cannot be read",
+    "long": "connection {0} sends a line without an end",
+    "spoilt": "connection {0} says a message with a field spoilt",
+    "mark": "connection {0} answers mark {1}",
+    "usage": "connection {0} reports its usage",
+    "deafen": "connection {0} reads nothing from now on",
+    "shut": "the other side closes connection {0}",
+    "late": "connection {0}: its time to say who it is, is over",
+    "lost": "the controller sees the end of connection {0}",
+    "begin": "the actor of connection {0} starts",
+    "act": "the actor of connection {0} takes what came first",
+    "module": "the module takes what came first",
+    "order": "the module orders another weight",
+}
+
+
+def say(step: Step) -> str:
+    return SAYS[step[0]].format(*step[1:])
+
+
+def starts(scenes: tuple[Scene, ...]) -> list[World]:
+    return [World(scene) for scene in scenes]
+
+
+def model(large: bool = False) -> Model:
+    """A proxy's two streams, and short of descriptors a stream beside two strangers."""
+    none = Scene(beats=0, rubbish=0, spoilt=0, marks=0, orders=0, deaf=False)
+    scenes: tuple[Scene, ...] = (
+        Scene(proxies=1, descriptors=1, spoilt=0, marks=0),  # one peer with all that it may do
+        replace(none, marks=1),  # two streams, and answers to marks of either
+        replace(none, spoilt=1, beats=1),
+        replace(none, deaf=True, orders=1),
+        replace(none, proxies=1, strangers=2, beats=1),  # three want two descriptors
+    )
+    if large:
+        scenes = (
+            *scenes,
+            Scene(beats=0, rubbish=0, spoilt=1, marks=1, orders=1),
+            replace(none, strangers=1, rubbish=1, orders=1, deaf=True),
+        )
+    return Model(
+        "connection",
+        "the life of connections: an older and a newer stream of a proxy, strangers",
+        partial(starts, scenes),
+        thaw,
+        say,
+        PROPERTIES,
+        LIVES,
+    )
--- /dev/null
+++ b/meadowworks/commands.py
@@ -0,0 +1,66 @@
+"""The command line: `meadowworks WORD ...`. Each word's own part is imported only when it is asked for."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from collections.abc import Sequence
+
+WORDS = {"check": ("meadowworks.check.commands", "check", "explore the machines whole in small worlds")}
+USAGE = "usage: meadowworks WORD [OPTION ...]; without a word the controller runs, as NODE_CONFIG says"
+
+
+class Bad(Exception):
+    """What was asked for makes no sense; one plain sentence. Ends the command with status 2."""
+
+
+def listing() -> str:
+    return "\n".join(
+        [
+            USAGE,
+            "",
+            *(f"  {word:8} {what}" for word, (*_, what) in WORDS.items()),
+            "",
+            "Each word has --help.",
+        ]
+    )
+
+
+def main(words: Sequence[str] | None = None) -> int:
+    """Runs a command. Its status is 0 when all holds, 1 when what it checks does not, 2 on bad input."""
+    words = sys.argv[1:] if words is None else words
+    if not words or words[0] in ("--help", "-h", "help"):
+        print(listing())
+        return 0
+    if words[0] not in WORDS:
+        return bad(f"there is no word {words[0]!r}: there are {', '.join(WORDS)}")
+    try:
+        module, name, _ = WORDS[words[0]]
+        act = getattr(importlib.import_module(module), name)
+        import typer
+    except ModuleNotFoundError as missing:
+        return bad(
+            f"{words[0]} needs {missing.name}, which is not installed: pip install 'meadowworks[tools]'"
+        )
+    app = typer.Typer(add_completion=False, rich_markup_mode=None, pretty_exceptions_enable=False)
+    app.command(name=words[0])(act)
+    try:
+        status = app(list(words[1:]), prog_name=f"meadowworks {words[0]}", standalone_mode=False)
+    except (Bad, ValueError) as trouble:
+        return bad(str(trouble))
+    except typer.TyperException as trouble:
+        return bad(trouble.format_message())
+    except typer.Exit as end:
+        return end.exit_code
+    except KeyboardInterrupt:
+        return 130
+    return status if isinstance(status, int) else 0
+
+
+def bad(why: str) -> int:
+    print(f"meadowworks: {' '.join(why.split())}", file=sys.stderr)
+    return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_check.py
@@ -0,0 +1,229 @@
+"""The explorer by itself on a toy machine; the models and their seeded faults; the command."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Iterable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from meadowworks import commands
+from meadowworks.check import faults, paths, plain, runs
+from meadowworks.check.explore import explore, replay
+from meadowworks.check.model import DEADLOCK, FAULT, Live, Model, Property, Step, taken
+
+
+class Lamp:
+    """A toy: a counter that goes up; it may stay at two for ever, ends at three, and raises at four."""
+
+    def __init__(self, at: int) -> None:
+        self.at = at
+        self.did: list[tuple[Any, ...]] = []
+
+    def enabled(self) -> Iterable[Step]:
+        return {2: [("on", 1), ("stay", 0)], 3: []}.get(self.at, [("up", 1)])
+
+    def do(self, step: Step) -> None:
+        self.did = [step]
+        if self.at == 4:
+            raise RuntimeError("burnt out")
+        self.at += step[1]
+
+    def freeze(self) -> int:
+        return self.at
+
+    def key(self) -> int:
+        return self.at
+
+
+def lamp(
+    *properties: Property, starts: tuple[int, ...] = (0,), fair: tuple[str, ...] = ("up", "stay")
+) -> Model:
+    lives = (
+        Live("dark at last", "it reaches three", lambda w: w.at < 3, tuple(taken(name) for name in fair)),
+    )
+    return Model(
+        "lamp",
+        "a toy",
+        lambda: [Lamp(k) for k in starts],
+        Lamp,
+        lambda step: f"goes {step[0]}",
+        properties,
+        lives,
+        finished=lambda w: w.at != 3,
+    )
+
+
+@pytest.mark.parametrize("workers", [1, 3])
+def test_the_explorer_finds_every_kind_of_break_by_a_shortest_path_that_plays_again(workers: int) -> None:
+    model = lamp(
+        Property("not two", "", lambda w: w.at != 2),
+        Property("no staying", "", lambda w: ("stay", 0) not in w.did, "step"),
+        starts=(0, 4),
+    )
+    result = explore(model, workers)
+    found = {b.name: (b.start, b.steps, b.cycle) for b in result.broken}
+    up, on, stay = ("up", 1), ("on", 1), ("stay", 0)
+    assert found == {
+        "not two": (0, (up, up), ()),
+        "no staying": (0, (up, up, stay), ()),
+        DEADLOCK: (0, (up, up, on), ()),
+        FAULT: (1, (up,), ()),
+        "dark at last": (0, (up, up), (stay,)),
+    }
+    assert (result.states, result.transitions, result.complete) == (5, 5, True)
+    for broken in result.broken:
+        assert broken.name in replay(model, broken.start, broken.steps, broken.cycle)
+
+
+def test_a_run_may_rest_where_nothing_fair_can_be_done_and_not_stay_where_it_can() -> None:
+    def never(*fair: str) -> list[tuple[Any, ...]]:
+        return [(b.steps, b.cycle) for b in explore(lamp(fair=fair)).broken if b.name == "dark at last"]
+
+    assert never() == [((), ())] and never("up", "on") == [] and never("up", "stay", "on") == []
+    assert never("up") == [((("up", 1), ("up", 1)), ())]
+
+
+def test_a_bound_says_what_it_left_out() -> None:
+    assert "beyond 3 states" in explore(lamp(), most=3).left_out
+    assert "more than 1 steps" in explore(replace(lamp(), depth=1)).left_out
+    assert not explore(lamp(), most=100).left_out
+    with pytest.raises(ValueError):
+        explore(lamp(), workers=0)
+
+
+@pytest.mark.parametrize("name", ["connection", "attempt"])
+def test_the_plain_explorer_sees_the_same_states(name: str) -> None:
+    model = runs.model_of(name, False)
+    first = replace(model, starts=lambda: model.starts()[:1])
+    mine, several, its = explore(first), explore(first, 3), plain.explore(first)
+    assert mine.complete and (mine.states, mine.transitions, mine.depth) == (
+        its.states,
+        its.transitions,
+        its.depth,
+    )
+    assert (several.states, several.transitions) == (mine.states, mine.transitions)
+
+
+def test_every_property_can_fail() -> None:
+    named = {name for fault in faults.FAULTS for name in fault.breaks}
+    for name in runs.MODELS:
+        model = runs.model_of(name, False)
+        assert {p.name for p in model.properties} | {live.name for live in model.lives} <= named
+
+
+def test_every_fault_of_the_table_fits_the_code_and_leaves_no_trace() -> None:
+    assert len({fault.name for fault in faults.FAULTS}) == len(faults.FAULTS) >= 25
+    for fault in faults.FAULTS:
+        whole = faults.function(fault.at)
+        code = whole.__code__
+        with faults.planted(fault):
+            assert (
+                whole.__code__ is not code
+                and whole.__code__.co_code
+                + repr(whole.__code__.co_consts).encode()
+                + repr(whole.__code__.co_names).encode()
+                != code.co_code + repr(code.co_consts).encode() + repr(code.co_names).encode()
+            )
+        assert whole.__code__ is code
+        assert set(fault.breaks) <= {name for name, _ in stated(fault)}
+
+
+def stated(fault: faults.Fault) -> list[tuple[str, str]]:
+    from meadowworks.check.commands import stated as all_stated
+
+    return all_stated(runs.model_of(fault.model, fault.large))
+
+
+def test_a_guard_that_is_not_there_is_an_error_in_the_table() -> None:
+    with (
+        pytest.raises(ValueError, match="stands 0 times"),
+        faults.planted(replace(faults.FAULTS[0], was="no such text")),
+    ):
+        pass
+
+
+def test_the_seeded_faults_are_found_and_their_paths_play_again() -> None:
+    names = [fault.name for fault in faults.FAULTS]
+    missed = [one.fault.name for one in runs.seek_all(names, os.cpu_count() or 1) if not one.found]
+    assert not missed
+
+
+def run(capsys: pytest.CaptureFixture[str], *words: str) -> tuple[int, str, str]:
+    status = commands.main(words)
+    out, err = capsys.readouterr()
+    return status, out, err
+
+
+def test_the_command_prints_one_object_and_a_path_file_plays_again(
+    capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    fault = faults.FAULTS[0]
+    with faults.planted(fault):
+        status, out, _ = run(
+            capsys, "check", "attempt", "--no-faults", "--json", "--most", "400", "--keep", str(tmp_path)
+        )
+    told = json.loads(out)
+    (model,) = told["models"]
+    broken = [p for p in model["properties"] if not p["holds"]]
+    assert status == 1 and not model["complete"] and model["left_out"] and broken and not told["faults"]
+    assert {"name", "states", "transitions", "depth", "complete", "seconds", "properties"} <= set(model)
+    file = sorted(tmp_path.iterdir())[0]
+    kept = paths.read(file)
+    assert run(capsys, "check", "--play", str(file))[0] == 0  # without the fault it holds
+    file.write_text(json.dumps({**json.loads(file.read_text()), "fault": fault.name}))
+    status, out, _ = run(capsys, "check", "--play", str(file))
+    assert status == 1 and out.strip().endswith(f"{kept.breaks}: BROKEN")
+
+
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (["chek"], "there is no word 'chek'"),
+        (["check", "atempt"], "there is no model 'atempt'"),
+        (["check", "--most", "0"], "--most is a whole number above 0"),
+        (["check", "--depth", "x"], "--depth is"),
+        (["check", "--workers", "-1"], "--workers"),
+        (["check", "--workers", "x"], "workers"),
+        (["check", "--play", "CUT"], "no whole JSON"),
+        (["check", "--play", "nowhere"], "cannot be read"),
+        (["check", "--play", "OTHER"], "step 1"),
+        (["check", "--play", "NOSTART"], "no start 99"),
+        (["check", "--play", "FORM"], "no path of form 1"),
+        (["check", "--frob"], "frob"),
+        (["check", "--play", "ODD"], "steps makes no sense"),
+    ],
+)
+def test_bad_input_is_one_plain_line_and_status_2(
+    capsys: pytest.CaptureFixture[str], tmp_path: Path, words: list[str], said: str
+) -> None:
+    whole = {
+        "form": 1,
+        "model": "attempt",
+        "large": False,
+        "fault": "",
+        "breaks": "in time",
+        "start": 0,
+        "steps": [["pass", 0]],
+        "cycle": [],
+    }
+    for name, text in {
+        "CUT": json.dumps(whole)[:40],
+        "OTHER": json.dumps(whole),
+        "FORM": "[]",
+        "NOSTART": json.dumps({**whole, "start": 99}),
+        "ODD": json.dumps({**whole, "steps": [7]}),
+    }.items():
+        (tmp_path / name).write_text(text)
+    status, out, err = run(capsys, *[str(tmp_path / w) if w.isupper() else w for w in words])
+    assert (status, out) == (2, "") and err.count("\n") == 1 and said in err
+
+
+def test_help_and_no_word_are_no_errors(capsys: pytest.CaptureFixture[str]) -> None:
+    assert run(capsys)[0] == 0 and run(capsys, "--help")[0] == 0
+    status, out, _ = run(capsys, "check", "--help")
+    assert status == 0 and "--large" in out
