--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -17,7 +17,7 @@
 from meadowworks.host import Entry, Host, Settings
 
 SECOND = 1_000_000_000
-TOLERANCE, LEAST_CUT, GAIN, CAP = 2.0, 0.5, 0.1, 2.0  # the design's (docs/design.md): of a view
+TOLERANCE, LEAST_CUT, GAIN, CAP = 2.0, 0.5, 0.1, 2.0  # the design's (docs/design/): of a view
 # Latency under this part of the SLO time is none to throttle for; the baseline is the lowest of this window.
 SLO_PART, WINDOW_NS = 0.5, 30 * SECOND
 JAM, CALM = (0.08, 0.02), 3.0  # dropped share that jams a zone, and ends it; times as much if none is avoided
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -4,6 +4,10 @@
 
 import json
 import os
+import signal
+import socket
+import subprocess
+import sys
 from collections.abc import Iterable
 from dataclasses import replace
 from pathlib import Path
@@ -227,3 +231,43 @@
     assert run(capsys)[0] == 0 and run(capsys, "--help")[0] == 0
     status, out, _ = run(capsys, "check", "--help")
     assert status == 0 and "--large" in out
+
+
+TOOLS = ("annotated_doc", "hypothesis", "numpy", "pydantic", "rich", "scipy", "typer", "xxhash")
+
+
+def test_a_controllers_start_imports_nothing_that_only_the_words_need() -> None:
+    code = "import sys, meadowworks.__main__; print(*sorted(sys.modules))"
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    names = set(out.split())
+    assert not names & set(TOOLS) and {"aiohttp", "loguru"} <= names
+    own = {name.split(".")[1] for name in names if name.startswith("meadowworks.")}
+    assert own == {"__main__", "door", "host", "node", "rules", "settings"}
+
+
+def example(folder: Path, listen: int, discovery: int) -> dict[str, str]:
+    config = json.loads((Path(__file__).parent.parent / "example" / "config.json").read_text())
+    config.update(listen=f"127.0.0.1:{listen}", discovery=f"127.0.0.1:{discovery}")
+    (folder / "config.json").write_text(json.dumps(config))
+    return {**os.environ, "NODE_CONFIG": str(folder / "config.json")}
+
+
+BOTH = [sys.executable, str(Path(__file__).parent.parent / "example" / "both.py")]
+
+
+def test_the_example_starts_and_a_taken_port_is_one_plain_line(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.1", 0)) as other:
+        ports = one.getsockname()[1], other.getsockname()[1]
+        env = example(tmp_path, *ports)
+        ended = subprocess.run(BOTH, env=env, capture_output=True, text=True)
+        assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and str(ports[0]) in ended.stderr
+    with subprocess.Popen(
+        [*BOTH, "60"], env=env, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
+    ) as both:
+        assert both.stdout is not None
+        said = ""
+        while "proxy: {" not in said:  # its table has come
+            line = both.stdout.readline()
+            assert line, said
+            said += line
+        both.send_signal(signal.SIGINT)
