--- a/meadowworks/attempts/again.py
+++ b/meadowworks/attempts/again.py
@@ -15,7 +15,6 @@
 FLOOR = 0.1  # the least level that a time to come back is reckoned with: the least that is ever ordered
 
 SENT, ANSWERED, UNRUN, DROPPED, LATE, CANCELLED = range(6)  # what is known of a try
-STATES = ("sent", "answered", "never ran", "dropped", "late", "cancelled")
 
 
 @dataclass(frozen=True, slots=True)
