Free strangers at once: no mailbox and no reference cycle for who never joins

Cause: each connection and its life held one another, so a crowd of strangers stayed until a collection of garbage, and each had a mailbox. Change: a mailbox comes with a name; a stranger's life lets go of its connection at the end.

--- a/meadowworks/node/listener.py
+++ b/meadowworks/node/listener.py
@@ -122,7 +122,7 @@
         self.life = Life(self, door.knows, BOUNDS)
         self.rest = bytearray()
         self.scanned = 0
-        self.mailbox: Mailbox[Told] = Mailbox(REPORTS_MOST)
+        self.mailbox: Mailbox[Told]  # of a peer: strangers are many, and need none
         self.limit: asyncio.TimerHandle | None = None
 
     # -- what the transport brings
@@ -161,6 +161,8 @@
         super().connection_lost(exc)
         self.door.crowd.gone(self)
         self.life.lost("closed" if exc is None else f"{exc}")
+        if not self.life.first:
+            del self.life.line  # guards against crowds that only a collection of garbage would free
 
     # -- its life's host
 
@@ -185,6 +187,7 @@
             self.limit.cancel()
 
     def employ(self, first: Attach | Collector) -> None:
+        self.mailbox = Mailbox(REPORTS_MOST)
         self.door.employ(first, self.life, self.mailbox)
 
     def put(self, item: Told, report: bool) -> None:
