Let cold servers into a jam where proxies call too seldom to avoid the warm

Cause: rules.wanted asks the cold to bear ALL calls. A proxy avoids a server after five failed tries in a row; at size a proxy makes 0.1 to 0.3 tries a second at a server (0.7 calls a second over 7 lines, hot ones 5), so at a drop share of 0.75 a run of five takes 40 s: measured 0.02 to 0.19 of the calls could go round the warm. Ruled out: the list, the channel's room (rest lines were sent), ramps (they had grown to 0.6). Change: the cold have to bear the greater of their part by weight and of the calls whose proxies may be avoiding the warm (rules.shunned: from the drop share, ejects, calls a proxy and lines, for a cold time at the longest).

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -100,6 +100,7 @@
     abroad: list[float] = field(default_factory=list)
     crowd: float = 0.0  # calls waiting at a server of the zone, in the mean
     full: float = 0.0  # the most weight that the zone's ready servers ever had
+    shun: float = 0.0  # the part of its calls that may go round its warm servers, see shunned()
 
 
 class Controller:
@@ -242,8 +243,10 @@
                 waits[b.zone].append(max(0.0, b.queue))
         for view, queues in zip(self.views, waits, strict=True):
             view.crowd = sum(queues) / max(1, len(queues))
+        hot = [0.0] * self.set.zones
         for proxy in self.proxies.values():
-            asked[proxy.zone] += sum(rate for rate, _ in proxy.asked.values()) or proxy.weight
+            asked[proxy.zone] += (rate := sum(rate for rate, _ in proxy.asked.values()) or proxy.weight)
+            hot[proxy.zone] += rate * rate
         if not sum(room):
             return
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(len(room))]
@@ -254,6 +257,7 @@
                 view.jam = not view.jam
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
             view.full = max(view.full, listed[zone])
+            view.shun = self.shunned(view, zone, hot[zone] / asked[zone])
             # Uneven calls alone, with none waiting, are the zone's own; a spill once begun ends later.
             strained = view.crowd >= CROWD or not view.calm or view.jam
             short = strained or view.keep < 1.0 or room[zone] <= SPILL_AT * view.full
@@ -270,6 +274,16 @@
             view.keep = keep
             view.abroad = [excess * s / max(r, 1e-9) for s, r in zip(free, room, strict=True)]
 
+    def shunned(self, view: View, zone: int, rate: float) -> float:
+        """The part of a zone's calls that may go round its warm servers. A call's proxy has so many a second,
+        and avoids a server once `ejects` tries in a row have failed there, for a cold time at the longest."""
+        drops = min(1 - 1e-9, view.met.bad / max(view.met.tries, LEAST_TRIES))
+        run = (drops ** -self.set.ejects - 1) / (1 - drops) if drops and self.set.ejects else 0.0  # in tries
+        cells = self.cells[zone * self.splits : (zone + 1) * self.splits]
+        lines = max(len(self.tables[table]) for cell in cells for table, _, _ in cell)
+        met = rate / max(1, lines) * self.set.cold_ns / SECOND
+        return met / (met + run) if run else 0.0
+
     def poor(self, zone: int, far: int) -> bool:  # guards against a slow or lossy link, not full servers
         home, away = self.views[zone].ways.get(zone, Met()), self.views[zone].ways.get(far, Met())
         told = min(home.tries, away.tries) >= LEAST_TRIES and self.views[far].crowd < LEAST_QUEUE
@@ -281,14 +295,17 @@
         far = {z for z in range(self.set.zones) if z != zone and self.poor(zone, z)}
         all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         ready = {p: b for p, b in all_ready.items() if b.zone not in far} or all_ready
-        # Guards against pushing over a cold server if proxies avoid the warm, unless the cold bear all calls.
+        weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
+        # Guards against pushing over a cold server in a jam, unless the cold bear what may come: their part
+        # by weight, or that of the calls whose proxies may be avoiding the warm.
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        cold = [b for p, b in ready.items() if b.zone == zone and p not in warm]
-        bear = self.set.tip * sum(b.weight * self.part(now, b) / RUNGS[b.rung] for b in cold)
-        weak = bear * self.proven < max(self.asking, PROVEN * self.proven) * view.full
+        cold = {p: weights[p] for p, b in ready.items() if b.zone == zone and p not in warm}
+        bear = self.set.tip * sum(w / RUNGS[ready[p].rung] for p, w in cold.items())
+        home_weight = sum(weights[p] for p, b in ready.items() if b.zone == zone)
+        share = max(view.shun, sum(cold.values()) / max(home_weight, 1e-9))
+        weak = bear * self.proven < max(self.asking, PROVEN * self.proven) * view.full * share
         ready = warm if warm and (view.jam and weak or now - self.blind_ns < FRESH_NS) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
-        weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
         # Guards against more connections than servers accept: its own, and of the next ones to its share.
         lines: dict[int, float] = {}
         share = SPLIT_LEAST * sum(weights[p] for p in own) / self.splits
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -501,3 +501,16 @@
                 fleet.module.heard(fleet.now, 0, b, 20, 18 * (b < 4), SECOND // 10, SECOND // 2, {})
             fleet.run(0.5)
         assert any("jammed" in line for line in fleet.records) == (state == "ready")
+
+
+def test_a_jam_keeps_cold_servers_out_only_where_proxies_call_often_enough_to_avoid_the_warm() -> None:
+    for calls, named in ((1, True), (40, False)):  # a second, of each route at each proxy
+        fleet = started(replace(SETTINGS, proxies=80, queue_cap=5100.0), per_zone=12, proxies=40)
+        fleet.run(8)
+        fleet.module.listed(fleet.now, "changes", [entry(b, 0, since=fleet.now) for b in range(24, 36)])
+        for _ in range(6):
+            fleet.ask(calls)
+            fleet.report({b: 0.6 for b in range(24)}, tries=3 * calls)
+            fleet.run(0.5)
+        assert any("jammed" in line for line in fleet.records)
+        assert any(b >= 24 for b in fleet.tables[0]) == named
