Send ordinary orders as the channel empties, and ways of trying again with the table

From 16 s on answers to marks are 8 to 16 s old: ordinary orders fill half of the queue's cap (10,900 lines, 27 s at 400 a second), levels and ramps arrive when they are stale, and drains stand behind them. Each controller keeps the queue's rule and fills its own channel; all five are late at once. Ruled out: the stated rate (834 lines a second in the first 4 s), CPU (0.42 s a second at most), proxies that do not answer (all 171 do). At fault: rules.take, where what can wait is held to a part of the cap alone; spend, which grants further tries only after 5 s. Change: applied() counts what has left the channel by each answer to a mark; an ordinary order goes once no more than a second of the stated rate waits. The first grant (all let in, one further try on proof) stands from the start and goes with the table at one line. Tests: changes each half second come to over 4 s of the channel with answers, under 3 s without; one message a proxy at the start.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -120,12 +120,15 @@
         self.cells = [[(c * len(groups) + k, *g) for k, g in enumerate(groups)] for c in range(cells)]
         self.tables: list[dict[int, float]] = [{} for cell in self.cells for _ in cell]
         self.levels: list[dict[int, tuple[float, int]]] = [{} for _ in self.tables]
-        self.views = [View() for _ in range(settings.zones)]
+        # The way of trying again goes with the first table, at a line; later it costs each proxy a message.
+        grant = OPEN_RATE if settings.level_kind == "rate" else 1.0, 1
+        self.views = [View(grants=[grant] * len(settings.routes)) for _ in range(settings.zones)]
         self.best: deque[tuple[int, float]] = deque()  # (when, -throughput of a weight), see lowest()
         self.slo_ns = max(float(r.slo_ns) for r in settings.routes)  # the mean over the calls heard
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.queue, self.sent, self.asking, self.proven, self.queue_ns = [0.0, 0.0], 0.0, 0.0, 0.0, now_ns
-        self.marks: deque[tuple[int, int, float]] = deque()  # out: number, when due, sent before it
+        self.marks: deque[tuple[int, int, float, float]] = deque()  # out: number, due, sent before, a message
+        self.passed, self.answering = 0.0, (-1, 0.0)  # lines that have left the channel; the mark that tells
         self.slices: dict[int, dict[int, float]] = {}
         self.moving: dict[int, int] = {}  # slices whose owner is gone, and when the next may follow
         self.half_ns, self.climb_ns = HALF_REPORTS * settings.report_ns, CLIMB_REPORTS * settings.report_ns
@@ -147,7 +150,7 @@
         gone, self.queue_ns = (now - self.queue_ns) / SECOND * self.set.channel_rate, now
         # Guards against a channel slower than stated: from a mark on that is overdue, all still waits.
         self.marks = deque(m for m in self.marks if m[1] >= now - WINDOW_NS)
-        stuck = max((self.sent - before for _, due, before in self.marks if due < now), default=0.0)
+        stuck = max((self.sent - before for _, due, before, _ in self.marks if due < now), default=0.0)
         self.queue = [max(stuck, q - gone * t) for q, t in zip(self.queue, CHANNEL_TRUST, strict=True)]
         fresh = [p for p in users if not p.sent or p.sent[-1] != now]  # others have a message in this reply
         for proxy in fresh:
@@ -158,6 +161,11 @@
         part, rest = rest >= 0, max(0, rest)
         least = min(lines or rest, max(1, int(self.set.head)))  # fewer are not worth their heads
         heads = self.set.head * len(fresh)
+        # Guards against ordinary orders that wait in the channel for longer than the next of their zone take
+        # to come, and all that is urgent behind them.
+        out = min(self.queue[1], self.sent - self.passed)
+        if keep == KEEP_USUAL and out and out + heads > PACE_NS / SECOND * self.set.channel_rate:
+            return 0
         if users:
             wait = stuck > 0 and now - self.marked_ns < FRESH_NS  # the next mark may be answered
             kept = zip((keep, max(wait, KEEP_USUAL)), self.queue, strict=True)
@@ -169,7 +177,7 @@
         if fresh and self.marked_ns != now:
             self.marked_ns, self.mark = now, (self.mark + 1) % MARKS
             due = now + int(cost / self.set.channel_rate * SECOND) + self.set.report_ns
-            self.marks.append((self.mark, due + self.set.delay_most_ns, self.sent))
+            self.marks.append((self.mark, due + self.set.delay_most_ns, self.sent, cost / len(fresh)))
             self.host.mark(self.mark)
         self.sent, self.queue = self.sent + cost, [q + cost for q in self.queue]
         for proxy in fresh:
@@ -177,8 +185,10 @@
         return lines + rest
 
     def applied(self, now: int, mark: int) -> None:
-        while any(number == mark for number, _, _ in self.marks):  # what was sent before has left the channel
-            self.marks.popleft()
+        while any(m[0] == mark for m in self.marks):  # what was sent before has left the channel
+            _, _, self.passed, each = self.marks.popleft()
+            self.answering = mark, each
+        self.passed += self.answering[1] * (mark == self.answering[0])  # and so has this message
 
     def listed(self, now: int, how: str, entries: Sequence[Entry]) -> None:
         if how == "error":  # the old list stands; ask again, each time later and never all at once
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -46,7 +46,8 @@
         self.probes: list[int] = []
         self.forgotten: list[int] = []
         self.marks: list[int] = []
-        self.answers = True  # marks come back at once
+        self.answers = True  # marks come back at the next step, from each proxy that was told
+        self.unanswered: list[tuple[int, int]] = []
         self.heads: dict[int, list[int]] = {}
         self.lines: list[tuple[int, float]] = []
         self.module = Controller(self, settings, 7, now)
@@ -71,8 +72,7 @@
 
     def mark(self, number: int) -> None:
         self.marks.append(number)
-        if self.answers:
-            self.module.applied(self.now, number)
+        self.unanswered.append((number, self.now))
 
     def forget(self, backend: int) -> None:
         assert not any(backend in lines for lines in self.tables.values())
@@ -126,6 +126,10 @@
     def run(self, seconds: float, step: int = SECOND // 4) -> None:
         for _ in range(int(seconds * SECOND / step)):
             self.now += step
+            while self.answers and self.unanswered:
+                number, when = self.unanswered.pop(0)
+                for _ in range(sum(when in sent for sent in self.heads.values())):
+                    self.module.applied(self.now, number)
             self.module.tick(self.now)
 
     def ask(self, calls: int) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -377,6 +377,7 @@
     mine = fleet.pick(0, 0)
     fleet.module.listed(fleet.now, "changes", [entry(b, 0, "draining") for b in mine])
     assert fleet.pick(0, 0) and not fleet.pick(0, 0) & mine
+    fleet.run(3)  # what the other splits gain by it can wait
     before = {p: fleet.pick(p, 0) for p in fleet.bound}
     fleet.module.listed(fleet.now, "changes", [entry(30, 0, since=fleet.now)])
     fleet.run(3)
@@ -514,3 +515,22 @@
             fleet.run(0.5)
         assert any("jammed" in line for line in fleet.records)
         assert any(b >= 24 for b in fleet.tables[0]) == named
+
+
+def test_ordinary_orders_wait_for_the_last_and_a_drain_waits_for_few() -> None:
+    crowd = replace(SETTINGS, proxies=80, queue_cap=20000.0, base_retry=0)
+    for slow in (False, True):  # a channel at a tenth of its stated rate: marks come back late
+        fleet = started(crowd, per_zone=20, proxies=80)
+        fleet.answers, start = not slow, len(fleet.lines)
+        for turn in range(24):
+            weight = 2.0 + turn % 3
+            fleet.module.listed(fleet.now, "changes", [entry(b, b % 2, weight=weight) for b in range(40)])
+            fleet.run(0.5)
+        lines = sum(lines for _, lines in fleet.lines[start:])
+        assert lines > 4 * crowd.channel_rate if not slow else lines < 3 * crowd.channel_rate
+
+
+def test_the_way_of_trying_again_goes_with_the_first_table_and_costs_no_message_later() -> None:
+    fleet = started(replace(SETTINGS, base_retry=0))
+    assert {grant for grant in fleet.levels.values()} == {(1.0, 1)}
+    assert all(len(sent) == 1 for sent in fleet.heads.values())
