Take a cold server off by an urgent order only where it may be pushed over

Ruled out: the jam's guard (the zone's own cold servers stayed in the same tables), drains (ready True). At fault: rules.settle, which ranks every cold server that leaves a table with what drains. Change: it does so only while the zone is shut to cold servers; that is told once a zone and turn (balance), not anew for each of 18 cells and their tables. Test: the two on jams hold as before; the cause is counted in lines, not in a rule.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -100,7 +100,7 @@
     abroad: list[float] = field(default_factory=list)
     crowd: float = 0.0  # calls waiting at a server of the zone, in the mean
     full: float = 0.0  # the most weight that the zone's ready servers ever had
-    shun: float = 0.0  # the part of its calls that may go round its warm servers, see shunned()
+    frail: bool = False  # jammed, and its cold servers do not bear what may come
 
 
 class Controller:
@@ -246,11 +246,14 @@
         own = (now - self.born_ns >= FRESH_NS) / (self.set.controllers if self.set.by_zone else 1)
         room, listed, asked = ([least] * self.set.zones for least in (0.0, 1e-9, 1e-9))
         waits: list[list[float]] = [[] for _ in room]
+        cold, bear = [0.0] * len(room), [0.0] * len(room)  # of the room; what that can do
         for b in self.backends.values():
             if b.ready:
                 listed[b.zone] += b.weight
-                room[b.zone] += b.weight * self.part(now, b)
+                room[b.zone] += (weight := b.weight * self.part(now, b))
                 waits[b.zone].append(max(0.0, b.queue))
+                cold[b.zone] += weight * (new := self.cold(now, b))
+                bear[b.zone] += weight * new / RUNGS[b.rung]
         for view, queues in zip(self.views, waits, strict=True):
             view.crowd = sum(queues) / max(1, len(queues))
         hot = [0.0] * self.set.zones
@@ -267,7 +270,11 @@
                 view.jam = not view.jam
                 self.host.record(f"zone {zone} " + ("jammed" if view.jam else "no longer jammed"))
             view.full = max(view.full, listed[zone])
-            view.shun = self.shunned(view, zone, hot[zone] / asked[zone])
+            # Guards against pushing over a cold server in a jam, unless the cold bear what may come: their
+            # part by weight, or that of the calls whose proxies may be avoiding the warm.
+            share = max(self.shunned(view, zone, hot[zone] / asked[zone]), cold[zone] / max(room[zone], 1e-9))
+            most = max(self.asking, PROVEN * self.proven) * view.full * share
+            view.frail = view.jam and self.set.tip * bear[zone] * self.proven < most
             # Uneven calls alone, with none waiting, are the zone's own; a spill once begun ends later.
             strained = view.crowd >= CROWD or not view.calm or view.jam
             short = strained or view.keep < 1.0 or room[zone] <= SPILL_AT * view.full
@@ -306,15 +313,8 @@
         all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         ready = {p: b for p, b in all_ready.items() if b.zone not in far} or all_ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
-        # Guards against pushing over a cold server in a jam, unless the cold bear what may come: their part
-        # by weight, or that of the calls whose proxies may be avoiding the warm.
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        cold = {p: weights[p] for p, b in ready.items() if b.zone == zone and p not in warm}
-        bear = self.set.tip * sum(w / RUNGS[ready[p].rung] for p, w in cold.items())
-        home_weight = sum(weights[p] for p, b in ready.items() if b.zone == zone)
-        share = max(view.shun, sum(cold.values()) / max(home_weight, 1e-9))
-        weak = bear * self.proven < max(self.asking, PROVEN * self.proven) * view.full * share
-        ready = warm if warm and (view.jam and weak or now - self.blind_ns < FRESH_NS) else ready
+        ready = warm if warm and self.shut(now, view) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
         # Guards against more connections than servers accept: its own, and of the next ones to its share.
         lines: dict[int, float] = {}
@@ -333,6 +333,9 @@
         total = sum(net.values())
         return lines | {p: lack * w / total for p, w in net.items()}
 
+    def shut(self, now: int, view: View) -> bool:  # to cold servers: what happens to them is heard too late
+        return view.frail or now - self.blind_ns < FRESH_NS
+
     def cold(self, now: int, backend: Backend) -> bool:
         return now - backend.since_ns < self.set.cold_ns
 
@@ -342,6 +345,7 @@
         self.balance(now)
         for cell in sorted(range(len(self.paced)), key=self.paced.__getitem__):  # none starves another
             zone, split = divmod(cell, self.splits)
+            shut = self.shut(now, self.views[zone])
             levels: dict[tuple[int, tuple[float, int]], int] = {}
             todo: list[tuple[int, float, int, int, float]] = []  # rank, then the less the sooner; the line
             for table, routes, home in self.cells[cell]:
@@ -359,7 +363,9 @@
                 todo += [(min(first, 1) if p in eased else first, -abs(held[p] - w), table, p, w)
                          for p, w in moved.items()]
                 off = [(p, w, self.backends[p]) for p, w in have.items() if p not in want]
-                todo += [(1 if not b.ready or self.cold(now, b) else 2, -w, table, p, 0.0) for p, w, b in off]
+                # A cold one leaves at once where it may be pushed over; else it costs no message of its own.
+                todo += [(1 if not b.ready or self.cold(now, b) and shut else 2, -w, table, p, 0.0)
+                         for p, w, b in off]
             # Guards against an order larger than the channel: first a line before the last leaves, then what
             # must leave (or is cold in a jam), levels, the greatest changes; more later.
             todo.sort()
