Give a table with cold servers weight abroad for the calls its zone cannot bear

At fault: rules.wanted, the net's size, and that it left out servers abroad that had a line of next to nothing. Change: while a table names cold servers, its weight is at least what its zone's proxies let in over 0.8 of the tip multiple times the best throughput of a weight of 1; the rest goes to warm servers abroad. Test: a zone of six left with one cold server, servers abroad that queue.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -27,6 +27,7 @@
 OPEN_RATE = 1e6  # calls a second that no proxy has; as a level, an open one where levels are rates
 SPILL_AT, SPILL_STEP, CROWD = 0.85, 0.1, 1.0  # part of its fair room, and calls waiting, to send some abroad
 NET, NET_MOST = 2.0, 0.25  # weight abroad beside cold servers, as a part of theirs, and of a table's
+BEAR = 0.8  # part of what tips a cold server that its table may bring it: calls come unevenly
 # Part of the connections servers accept that a zone's proxies may take; a split's least servers and weight.
 CONNECTIONS, LEAST_LINES, SPLIT_LEAST = 0.8, 3, 0.75
 # A new server enters at a tenth and rises in steps of its cold time, to a part of the least it can do.
@@ -100,6 +101,7 @@
     abroad: list[float] = field(default_factory=list)
     crowd: float = 0.0  # calls waiting at a server of the zone, in the mean
     full: float = 0.0  # the most weight that the zone's ready servers ever had
+    asked: float = 0.0  # calls a second that its proxies let in
     frail: bool = False  # jammed, and its cold servers do not bear what may come
 
 
@@ -257,9 +259,14 @@
         for view, queues in zip(self.views, waits, strict=True):
             view.crowd = sum(queues) / max(1, len(queues))
         hot = [0.0] * self.set.zones
+        for view in self.views:
+            view.asked = 0.0
         for number, proxy in self.proxies.items():
             asked[proxy.zone] += (rate := self.calls(number))
             hot[proxy.zone] += rate * rate
+            view = self.views[proxy.zone]
+            levels = [min(1.0, level) for level, _ in view.grants]
+            view.asked += sum(levels[k] * r for k, (r, _) in proxy.asked.items()) or rate
         if not sum(room):
             return
         need = [own * asked[z] / sum(asked) + (1 - own) * listed[z] / sum(listed) for z in range(len(room))]
@@ -325,13 +332,17 @@
         if view.keep < 1.0 and len(own) < len(ready):
             lines.update((p, weights[p] * view.abroad[b.zone]) for p, b in ready.items()
                          if b.zone != zone and b.split == split and view.abroad[b.zone] > 0)
-        # Guards against pushing over a cold server when the warm ones beside it go off at one stroke.
-        frail = sum(w for p, w in lines.items() if self.cold(now, ready[p]))
-        lack = min(NET * frail, NET_MOST * sum(lines.values())) - sum(lines[p] for p in lines if p not in own)
+        # Guards against pushing over a cold server when the warm ones beside it go off at one stroke, and
+        # where a table's servers are too few for its calls: some go abroad, however busy it is there.
+        total, frail = sum(lines.values()), sum(w for p, w in lines.items() if self.cold(now, ready[p]))
         net = {p: w for p, w in weights.items()
-               if p not in lines and p in warm and ready[p].split == split and lack > 0}
-        total = sum(net.values())
-        return lines | {p: lack * w / total for p, w in net.items()}
+               if p in warm and ready[p].split == split and (p not in lines or p not in own)}
+        most, lack = sum(net.values()), min(NET * frail, NET_MOST * total)
+        lack -= sum(lines[p] for p in lines if p not in own)
+        if frail and self.proven > 0:
+            bear = BEAR * self.set.tip * -self.best[0][1]  # calls a second at a weight of 1
+            lack = max(lack, min(most, view.asked / self.splits / bear - total))
+        return lines | {p: lines.get(p, 0.0) + lack * w / most for p, w in net.items() if lack > 0}
 
     def shut(self, now: int, view: View) -> bool:  # to cold servers: what happens to them is heard too late
         return view.frail or now - self.blind_ns < FRESH_NS
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -534,3 +534,20 @@
     fleet = started(replace(SETTINGS, base_retry=0))
     assert {grant for grant in fleet.levels.values()} == {(1.0, 1)}
     assert all(len(sent) == 1 for sent in fleet.heads.values())
+
+
+def test_a_zone_left_with_a_cold_server_keeps_no_more_calls_than_that_can_bear() -> None:
+    fleet = started(per_zone=6, proxies=8)
+    for turn in range(16):
+        if turn == 6:
+            fleet.module.listed(fleet.now, "changes", [entry(b, 0, "gone") for b in range(0, 12, 2)])
+            fleet.module.listed(fleet.now, "changes", [entry(12, 0, since=fleet.now)])
+        for table, lines in list(fleet.tables.items()):
+            for b in sorted(lines):  # as many calls as before are answered, abroad by servers that queue
+                queue = {"queue": 9.0 * (turn > 6) * (b % 2)}
+                fleet.module.heard(fleet.now, table, b, 120 // len(lines), 0, SECOND // 5, SECOND // 2, queue)
+        fleet.ask(20)
+        fleet.run(0.5)
+    left = fleet.tables[0]
+    calls = 240 * left.get(12, 0.0) / sum(left.values())  # a second; one server answered 40 in a zone of six
+    assert 0 < calls < SETTINGS.tip * 40 * fleet.module.part(fleet.now, fleet.module.backends[12])
