--- a/meadowworks/__main__.py
+++ b/meadowworks/__main__.py
@@ -63,7 +63,7 @@
     module: Mailbox[News] = Mailbox(REPORTS_MOST)
     lists: Mailbox[Follow] = Mailbox(LIST_MOST)
     loop.add_signal_handler(signal.SIGHUP, again)
-    node = Node(config, module, lists)
+    node = Node(config, module, lists, loop.call_at)
     index = config.known.index if config.known else None
     discovery = Discovery(config.discovery, index, config.settings.ask_within_ns, lists, module)
     door = Door(module, config.zones, config.settings.proxies, config.sockets)
--- a/meadowworks/node/controller.py
+++ b/meadowworks/node/controller.py
@@ -51,18 +51,21 @@
 
 
 class Node:
-    def __init__(self, config: Config, mailbox: Mailbox[News], lists: Mailbox[Follow]) -> None:
+    """`call_at` is the loop's: a time in seconds of the monotonic clock, what to call and with what. The
+    laboratory hands in its own, and its own clock."""
+
+    def __init__(self, config: Config, mailbox: Mailbox[News], lists: Mailbox[Follow],
+                 call_at: Callable[..., object], clock: Clock | None = None) -> None:
         self.mailbox, self.lists = mailbox, lists
         self.zones, self.routes = config.zones, config.routes
         self.batch_ns = config.batch_ns
-        self.clock = Clock()
+        self.clock, self.call_at = clock or Clock(), call_at
         self.backends = Names()
         self.forgotten: list[int] = []  # freed once this batch's messages, which may name them, are made
         self.orders = Orders(list(config.routes), self.backends.names)
         self.streams = Streams(self.orders)
         self.now = self.due_ns = self.clock.now()
         self.told_ns = self.now
-        self.loop = asyncio.get_running_loop()
         self.module = Controller(self, config.settings, config.seed, self.now)
         if config.known:
             self.listed("disk", config.known)
@@ -87,7 +90,7 @@
     def wake_in(self, wait_ns: int) -> None:
         """From when the timer was due, so that it does not drift; after a stall, from now."""
         self.due_ns = (self.due_ns if self.now - self.due_ns < wait_ns else self.now) + wait_ns
-        self.loop.call_at((self.due_ns - self.clock.offset) / SECOND, self.mailbox.put, Due())
+        self.call_at((self.due_ns - self.clock.offset) / SECOND, self.mailbox.put, Due())
 
     def set_line(self, table: int, backend: int, weight: float) -> None:
         self.orders.set_line(table, backend, weight)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -350,7 +350,8 @@
 
     async def act() -> None:
         config = load({"NODE_CONFIG": str(tmp_path / "config.json")})
-        node = controller.Node(config, Mailbox[News](9), Mailbox[Follow](9))
+        at = asyncio.get_running_loop().call_at
+        node = controller.Node(config, Mailbox[News](9), Mailbox[Follow](9), at)
         due, wait = node.due_ns, config.settings.report_ns
         node.now = due + 1000  # a little late: the next is counted from when this one was due
         node.wake_in(wait)
