Find a zone's servers once a turn for all its splits, and its lightest split in one pass

Change: rules.pool finds them once a zone and turn, wanted takes a split's lines from it; settle sorts bound proxies by cell once; lightest sums in one pass. meadowworks/lab/cost.py measures a join, a report line and a tick at two sizes in one run.

--- /dev/null
+++ b/meadowworks/lab/cost.py
@@ -0,0 +1,79 @@
+"""What a join, a report line and a tick cost the decision module at two sizes, as ratios within one run.
+
+    python -O -m meadowworks.lab.cost
+
+The host does nothing; times are the processor's, the median of several rounds. Another text of the module is
+measured with PYTHONPATH set to its folder and this file started by its path.
+"""
+
+from __future__ import annotations
+
+import sys
+from statistics import median
+from time import process_time
+from typing import Any
+
+from meadowworks.host import Entry, Route, Settings
+from meadowworks.rules import Controller
+
+SECOND = 1_000_000_000
+SIZES = ((50, 20), (640, 120))
+ROUNDS = 7
+
+
+class Nobody:
+    """A host that does nothing."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *what: None
+
+
+def settings(proxies: int) -> Settings:
+    """Of a fleet under one controller, with room in its channel for all."""
+    routes = (Route(2.0, 2 * SECOND, False), Route(1.0, SECOND, False), Route(2.0, SECOND, False))
+    return Settings(
+        routes=routes, zones=2, proxies=proxies, connections=46.0, controllers=1, by_zone=True,
+        subscribe=True, ask_within_ns=10 * SECOND, only_draining_binds=False, probes=False,
+        level_kind="share", base_retry=0, ejects=5, report_ns=SECOND // 2, fixed_weights=True,
+        channel_rate=1e6, queue_cap=1e7, head=10.0, messages_most=0, messages_over_ns=10 * SECOND,
+        delay_most_ns=SECOND // 2, cold_share=0.3, tip=2.5, cold_ns=15 * SECOND, slices=0,
+        exclusive=False, lease_ns=SECOND, in_flight_ns=SECOND)
+
+
+def once(proxies: int, backends: int) -> tuple[float, float, float]:
+    """Microseconds for a join, for a report line, and for a tick."""
+    now = 1000 * SECOND
+    module = Controller(Nobody(), settings(proxies), 7, now)
+    module.listed(now, "disk", [Entry(b, b % 2, "ready", 0, 2.0) for b in range(backends)])
+    start = process_time()
+    for p in range(proxies):
+        module.joined(now, p, p % 2, 1.0)
+    join = (process_time() - start) / proxies
+    report = tick = 0.0
+    for turn in range(8):
+        now += SECOND // 4
+        start = process_time()
+        for b in range(backends):
+            module.heard(now, b % 2, b, 5, 0, SECOND // 5, SECOND // 2, {"queue": 0.0})
+        for p in range(proxies):
+            module.asked(now, p, turn % 3, 2, 0, SECOND)
+        report += (process_time() - start) / (backends + proxies)
+        start = process_time()
+        module.tick(now)
+        tick += process_time() - start
+    return join * 1e6, report / 8 * 1e6, tick / 8 * 1e6
+
+
+def main() -> int:
+    rows = [[median(found) for found in zip(*(once(*size) for _ in range(ROUNDS)), strict=True)]
+            for size in SIZES]
+    for (proxies, backends), row in zip(SIZES, rows, strict=True):
+        print(f"{proxies} proxies, {backends} backends: join {row[0]:.1f} us, report line {row[1]:.2f} us, "
+              f"tick {row[2]:.0f} us")
+    print("ratios: " + ", ".join(f"{name} {large / small:.1f}" for name, small, large in zip(
+        ("join", "report line", "tick"), *rows, strict=True)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -105,6 +105,15 @@
     frail: bool = False  # jammed, and its cold servers do not bear what may come
 
 
+@dataclass(slots=True)
+class Pool:  # a zone's servers as its tables may name them in this turn, whatever the split
+    ready: dict[int, Backend]
+    own: dict[int, Backend]
+    warm: dict[int, Backend]
+    weights: dict[int, float]
+    whole: float  # weight of its own
+
+
 class Controller:
     def __init__(self, host: Host, settings: Settings, seed: int, now_ns: int) -> None:
         self.host, self.set, self.seed = host, settings, seed
@@ -229,8 +238,11 @@
                 self.host.probe(place)
 
     def lightest(self, zone: int, held: Iterable[Backend | Proxy]) -> int:
-        here = [h for h in held if h.zone == zone]
-        return min(range(self.splits), key=lambda k: sum(max(h.weight, 1e-3) for h in here if h.split == k))
+        weighs = [0.0] * self.splits
+        for h in held:
+            if h.zone == zone:
+                weighs[h.split] += max(h.weight, 1e-3)
+        return min(range(self.splits), key=weighs.__getitem__)
 
     def probed(self, now: int, place: int, answered: bool) -> None:
         if (b := self.backends.get(place)) and b.lost and not answered:
@@ -314,18 +326,21 @@
         late = away.spent / max(away.tries - away.bad, 1) - home.spent / max(home.tries - home.bad, 1)
         return told and (away.bad / away.tries - home.bad / home.tries > ILL or late > SLO_PART * self.slo_ns)
 
-    def wanted(self, now: int, zone: int, split: int, home: bool) -> dict[int, float]:
-        view = self.views[zone]
+    def pool(self, now: int, zone: int, home: bool) -> Pool:
         far = {z for z in range(self.set.zones) if z != zone and self.poor(zone, z)}
         all_ready = {p: b for p, b in self.backends.items() if b.ready and (b.zone == zone or not home)}
         ready = {p: b for p, b in all_ready.items() if b.zone not in far} or all_ready
         weights = {p: max(b.weight, 1e-3) * self.part(now, b) for p, b in ready.items()}
         warm = {p: b for p, b in ready.items() if not self.cold(now, b)}
-        ready = warm if warm and self.shut(now, view) else ready
+        ready = warm if warm and self.shut(now, self.views[zone]) else ready
         own = {p: b for p, b in ready.items() if b.zone == zone} or ready
+        return Pool(ready, own, warm, weights, sum(weights[p] for p in own))
+
+    def wanted(self, now: int, zone: int, split: int, pool: Pool) -> dict[int, float]:
+        view, ready, own, weights = self.views[zone], pool.ready, pool.own, pool.weights
         # Guards against more connections than servers accept: its own, and of the next ones to its share.
         lines: dict[int, float] = {}
-        share = SPLIT_LEAST * sum(weights[p] for p in own) / self.splits
+        share = SPLIT_LEAST * pool.whole / self.splits
         for p in sorted(own, key=lambda p: ((own[p].split - split) % self.splits, p)):
             if own[p].split == split or len(lines) < LEAST_LINES or sum(lines.values()) < share:
                 lines[p] = weights[p]
@@ -335,8 +350,8 @@
         # Guards against pushing over a cold server when the warm ones beside it go off at one stroke, and
         # where a table's servers are too few for its calls: some go abroad, however busy it is there.
         total, frail = sum(lines.values()), sum(w for p, w in lines.items() if self.cold(now, ready[p]))
-        net = {p: w for p, w in weights.items()
-               if p in warm and ready[p].split == split and (p not in lines or p not in own)}
+        net = {p: weights[p] for p, b in pool.warm.items()
+               if b.split == split and (p not in lines or p not in own)}
         most, lack = sum(net.values()), min(NET * frail, NET_MOST * total)
         lack -= sum(lines[p] for p in lines if p not in own)
         if frail and self.proven > 0:
@@ -354,6 +369,11 @@
         if self.set.slices:
             return self.settle_slices(now)
         self.balance(now)
+        pools: dict[tuple[int, bool], Pool] = {}
+        bound: dict[tuple[int, int], list[Proxy]] = {}
+        for p in self.proxies.values():
+            if p.bound:
+                bound.setdefault((p.zone, p.split), []).append(p)
         for cell in sorted(range(len(self.paced)), key=self.paced.__getitem__):  # none starves another
             zone, split = divmod(cell, self.splits)
             shut = self.shut(now, self.views[zone])
@@ -364,7 +384,9 @@
                     grant = level, 0 if self.views[zone].jam else retry  # further tries feed a jam
                     if routes >> k & 1 and self.levels[table].get(k, (1.0, self.set.base_retry)) != grant:
                         levels[table, grant] = levels.get((table, grant), 0) | 1 << k
-                have, want = self.tables[table], self.wanted(now, zone, split, home)
+                if (zone, home) not in pools:
+                    pools[zone, home] = self.pool(now, zone, home)
+                have, want = self.tables[table], self.wanted(now, zone, split, pools[zone, home])
                 moved = {p: w for p, w in want.items() if abs(have.get(p, 0.0) - w) > LINE_STEP * w}
                 first = 2 if any(p in want for p in have) else 0
                 # Guards against a server that restarts under its name and keeps a warm one's weight: it is
@@ -381,7 +403,7 @@
             # must leave (or is cold in a jam), levels, the greatest changes; more later.
             todo.sort()
             ahead = sum(rank < 2 for rank, *_ in todo)
-            users = [p for p in self.proxies.values() if p.bound and (p.zone, p.split) == (zone, split)]
+            users = bound.get((zone, split), [])
             if not todo and not levels or users and not ahead and now - self.paced[cell] < PACE_NS:
                 continue
             keep, rest = KEEP_DRAIN if ahead else KEEP_USUAL, len(todo) - ahead + len(levels)
