Mend a figure that overflowed in quiet minutes and stopped all orders

Replayed with logs, one proxy followed: its controller is told at 584.08 s, and orders nothing from 575.8 to 595.3 s, not even a line for a table without users, with an empty channel (queue 0, no mark out). Its log at 578.3 s: 'fault while handling Due() ... OverflowError' in rules.shunned, then one line a doubling. Ruled out by the same log: the caps (2 messages in 10 s), joins, the order of messages, the list. At fault: the drop share to the power of minus five; drops fade by half each half second, so after a hundred quiet seconds it overflows, in balance, which each settle begins with. Change: the same figure without a negative power. Test: drops, then 140 quiet seconds, then a drain.

--- a/meadowworks/rules.py
+++ b/meadowworks/rules.py
@@ -314,11 +314,12 @@
         """The part of a zone's calls that may go round its warm servers. A call's proxy has so many a second,
         and avoids a server once `ejects` tries in a row have failed there, for a cold time at the longest."""
         drops = min(1 - 1e-9, view.met.bad / max(view.met.tries, LEAST_TRIES))
-        run = (drops ** -self.set.ejects - 1) / (1 - drops) if drops and self.set.ejects else 0.0  # in tries
+        in_row = drops ** self.set.ejects if self.set.ejects else 0.0
+        run = (1 - in_row) / (1 - drops)  # tries until so many in a row have failed, times in_row
         cells = self.cells[zone * self.splits : (zone + 1) * self.splits]
         lines = max(len(self.tables[table]) for cell in cells for table, _, _ in cell)
-        met = rate / max(1, lines) * self.set.cold_ns / SECOND
-        return met / (met + run) if run else 0.0
+        met = rate / max(1, lines) * self.set.cold_ns / SECOND * in_row
+        return met / (met + run)
 
     def poor(self, zone: int, far: int) -> bool:  # guards against a slow or lossy link, not full servers
         home, away = self.views[zone].ways.get(zone, Met()), self.views[zone].ways.get(far, Met())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -551,3 +551,13 @@
     left = fleet.tables[0]
     asked, bears = fleet.module.views[0].asked, -fleet.module.best[0][1]  # at a weight of 1
     assert 0 < asked / sum(left.values()) < SETTINGS.tip * bears and left[12] > 0
+
+
+def test_drops_that_have_all_but_faded_stop_no_decision() -> None:
+    fleet = started()
+    fleet.report({b: 0.5 for b in range(6)})
+    for _ in range(140):  # quiet minutes: the drop share falls under any figure's fifth root
+        fleet.report({})
+        fleet.run(1)
+    fleet.module.listed(fleet.now, "changes", [entry(0, 0, "draining")])
+    assert 0 < fleet.module.views[0].met.bad < 1e-62 and 0 not in fleet.pick(0, 0)
