Tests for three guards that could be taken out unseen

Change: a test for each: a cold server of little weight waits and a heavy one does not, each answer counts one message, a message that cannot be encoded costs itself alone. No program text changed.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -190,6 +190,18 @@
     assert told == [boxes[proxy] for proxy in (5, 1, 2, 3, 0, 4)]
 
 
+def test_a_fault_in_one_message_costs_the_others_nothing() -> None:
+    orders = Orders(LANES, NAMES)
+    streams, boxes = Streams(orders), [Mailbox[Told](9) for _ in range(2)]
+    for proxy, weight in enumerate((1.0, float("nan"))):
+        orders.set_line(proxy, 0, weight)
+        streams.joined(proxy, boxes[proxy])
+        orders.bind(0, proxy, proxy)
+    with pytest.raises(ValueError):
+        list(streams.send())
+    assert [len(box.items) for box in boxes] == [1, 0] and not list(streams.send())
+
+
 def test_a_name_that_was_freed_comes_back_under_another_index() -> None:
     names = Names()
     old = names.index("s-1")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -561,3 +561,29 @@
         fleet.run(1)
     fleet.module.listed(fleet.now, "changes", [entry(0, 0, "draining")])
     assert 0 < fleet.module.views[0].met.bad < 1e-62 and 0 not in fleet.pick(0, 0)
+
+
+def test_a_cold_server_of_little_weight_leaves_at_the_usual_pace_and_a_heavy_one_at_once() -> None:
+    for weight, waits in ((0.1, True), (2.0, False)):
+        fleet = started()
+        fleet.module.listed(fleet.now, "changes", [entry(1, 1, since=fleet.now)])
+        fleet.run(3)
+        fleet.module.tables[0][1] = fleet.tables[0][1] = weight  # abroad, and the way there is poor now
+        fleet.module.paced[0] = fleet.now
+        fleet.module.settle(fleet.now)
+        assert (1 in fleet.tables[0]) == waits
+        fleet.run(2)
+        assert 1 not in fleet.tables[0]
+
+
+def test_each_answer_to_a_mark_tells_that_one_message_has_left_the_channel() -> None:
+    fleet = started(proxies=8)
+    fleet.answers = False
+    before = fleet.module.sent
+    assert fleet.module.passed == before
+    fleet.module.listed(fleet.now, "changes", [entry(0, 0, "draining")])  # four proxies of one zone
+    for answers in range(4):
+        left = before + (fleet.module.sent - before) * answers / 4
+        assert abs(fleet.module.passed - left) < 1e-6 and fleet.module.sent > before
+        fleet.module.applied(fleet.now, fleet.marks[-1])
+    assert abs(fleet.module.passed - fleet.module.sent) < 1e-6
