--- /dev/null
+++ b/meadowworks/carriage/journey.py
@@ -0,0 +1,164 @@
+"""One request's tries as a machine: sent, sent again or not, and what its client is told.
+
+Whether a further try may follow is decided by `attempts`; here stands what each end of a try proves, and
+which answer may be given. The rules it keeps: an unsafe request is sent again only with proof that it did not
+run, and is answered 503 only with that proof; what is given up is answered at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from meadowworks.attempts.again import (
+    AFTER_ANY,
+    ANSWERED,
+    DROPPED,
+    LATE,
+    SENT,
+    UNRUN,
+    Again,
+    Stop,
+    Try,
+    Way,
+    again,
+    come_back_ns,
+    easiest,
+    sure,
+    wait_ns,
+)
+
+MS = 1_000_000
+PACE_NS = 60 * MS  # in which room may be found again: what a time to come back is reckoned with
+LEAST_NS = 20 * MS  # with less time left no further try begins
+SPENT = Stop("no further try is within the service's budget")
+PROMISES = (408, 421, 429, 503)  # statuses that promise that a request has not run
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """One try: to a backend, waited for until `until_ns` before another may go beside it."""
+
+    number: int
+    place: int
+    until_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Nothing to do until a try ends or `until_ns` is there."""
+
+    until_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """The answer of this try goes to the client as it is."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """An answer of our own. With `back_ns`: it has not run and never will, and may come back then."""
+
+    status: int
+    back_ns: int = 0
+
+
+Step = Send | Wait | Forward | Refuse
+
+
+def proof(status: int, not_run: bool) -> int:
+    """What an answer of a backend says of a try, by its status and whether it states that it did not run."""
+    if not_run or status == 421:
+        return UNRUN
+    return DROPPED if status >= 500 or status in PROMISES else ANSWERED
+
+
+@dataclass(slots=True)
+class Journey:
+    """`limit_ns` is when the client's or the operator's time is over. `policy` as `attempts` numbers it."""
+
+    way: Way
+    policy: int
+    limit_ns: int
+    tries: dict[int, Try] = field(default_factory=dict)
+    failed: dict[int, int] = field(default_factory=dict)  # tries whose answer is a backend's own failure
+    over: bool = False
+
+    def start(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float) -> Step:
+        if self.limit_ns - now < LEAST_NS:
+            return self.refuse(now, chance)
+        place = easiest(lines, (), busy, chance)
+        return self.refuse(now, chance) if place is None else self.send(now, place, lines)
+
+    def send(self, now: int, place: int, lines: Mapping[int, float]) -> Send:
+        wait = wait_ns(self.way, self.policy, [*self.tries.values()], lines, self.limit_ns - now)
+        number = len(self.tries) + 1
+        self.tries[number] = Try(place, SENT, now + wait)
+        return Send(number, place, now + wait)
+
+    def ended(self, now: int, number: int, state: int, status: int, lines: Mapping[int, float],
+              busy: Mapping[int, float], chance: float, budget: Callable[[], bool]) -> Step:
+        """A try has ended; `status` is its answer's, 0 if it has none. `budget` takes a further one out of
+        the service's budget, if there is room."""
+        self.tries[number].state = state
+        if state == ANSWERED:
+            return Forward(number)
+        if state == DROPPED and status and status not in PROMISES:
+            self.failed[number] = status
+        if any(one.state in (SENT, LATE) for one in self.tries.values()):
+            return self.wait(now)
+        return self.follow(now, lines, busy, chance, budget)
+
+    def due(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float,
+            budget: Callable[[], bool]) -> Step:
+        """A try was waited for long enough: another may go beside it, whose answer counts as well. At the
+        limit all is over."""
+        if now >= self.limit_ns:
+            return self.refuse(now, chance)
+        for one in self.tries.values():
+            if one.state == SENT and one.due_ns <= now:
+                one.state = LATE
+                found = self.another(now, lines, busy, chance, budget)
+                if isinstance(found, Again):
+                    return self.send(now, found.backend, lines)
+        return self.wait(now)
+
+    def wait(self, now: int) -> Wait:
+        due = [one.due_ns for one in self.tries.values() if one.state == SENT and one.due_ns > now]
+        return Wait(min([*due, self.limit_ns]))
+
+    def another(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float,
+                budget: Callable[[], bool]) -> Again | Stop:
+        tries = [*self.tries.values()]
+        found = again(self.way, self.policy, tries, lines, self.limit_ns - now, chance, busy)
+        return found if isinstance(found, Stop) or budget() else SPENT
+
+    def follow(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float,
+               budget: Callable[[], bool]) -> Step:
+        found = self.another(now, lines, busy, chance, budget)
+        if isinstance(found, Again):
+            return self.send(now, found.backend, lines)
+        if self.failed:  # the backend's own failure is the answer
+            return Forward(next(iter(self.failed)))
+        return self.refuse(now, chance)
+
+    def refuse(self, now: int, chance: float) -> Refuse:
+        self.over = True
+        if sure([*self.tries.values()]):
+            return Refuse(503, come_back_ns(PACE_NS, 1.0, chance))
+        return Refuse(504 if now >= self.limit_ns else 502)
+
+
+def way(safe: bool, limit_ns: int, wait: int) -> Way:
+    """What `attempts` reads of a route."""
+    return Way(repeatable=safe, limit_ns=limit_ns, wait_ns=wait, least_ns=LEAST_NS, hold_ns=0)
+
+
+def policy(safe: bool, tries: int, jammed: bool) -> int:
+    """The way of trying again, by what the operator allows; in a jam none."""
+    if tries <= 1 or jammed:
+        return 0
+    return 1 if not safe else AFTER_ANY + (tries > 2)
--- /dev/null
+++ b/meadowworks/junction/__main__.py
@@ -0,0 +1,3 @@
+from meadowworks.junction.program import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/meadowworks/junction/forward.py
@@ -0,0 +1,131 @@
+"""One try at one backend, over a line of that life alone."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from meadowworks.attempts.again import DROPPED, UNRUN
+from meadowworks.carriage.journey import proof
+from meadowworks.carriage.yard import Yard
+from meadowworks.roster.lives import Backend
+from meadowworks.track.errors import NoAnswer
+from meadowworks.track.line import Headers, Line, Reply, connect
+from meadowworks.track.program import now_ns
+
+MS = 1_000_000
+CONNECT_S = 1.0
+ANSWER_MOST = 32 << 20
+HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"te", b"trailer",
+                 b"proxy-authorization", b"transfer-encoding", b"upgrade", b"content-length"))
+OURS = frozenset((b"x-deadline-ms", b"x-want-backend", b"expect"))
+BODIED = frozenset((b"POST", b"PUT", b"PATCH"))
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What goes to whichever backend: unchanged but for what concerns one connection."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    ident: bytes | None  # X-Request-Id
+
+
+@dataclass(frozen=True, slots=True)
+class Tried:
+    """How a try ended: `state` as `attempts` names it, the answer if there is a sound one. `over`: another
+    life answers at the address. `full`: its time was cut by none but itself."""
+
+    state: int
+    reply: Reply | None
+    spent_ns: int
+    over: bool = False
+    reached: bool = True
+
+    @property
+    def status(self) -> int:
+        return self.reply.status if self.reply else 0
+
+
+def on_headers(headers: Headers) -> Headers:
+    """What goes along, of the headers that a client sent (names in small letters)."""
+    named = {part.strip().lower() for name, value in headers if name == b"connection" for part in value.split(b",")}
+    return [(n, v) for n, v in headers if n not in HOP and n not in OURS and n not in named]
+
+
+def back_headers(reply: Reply) -> Headers:
+    """What goes back to the client, of a backend's headers."""
+    named = {p.strip().lower() for n, v in reply.headers if n.lower() == b"connection" for p in v.split(b",")}
+    return [(n, v) for n, v in reply.headers if n.lower() not in HOP and n.lower() not in named]
+
+
+def kept_s(reply: Reply) -> int | None:
+    """The whole seconds that `Keep-Alive` tells, if it does."""
+    for part in (reply.get(b"keep-alive") or b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.strip().isdigit():
+            return int(value)
+    return None
+
+
+def spoilt(request: Request, reply: Reply) -> str | None:
+    """Why an answer is not this request's own, whole one."""
+    told = reply.get(b"x-request-id")
+    if request.ident is not None and told != request.ident and (told is not None or reply.status < 300):
+        return "another request's answer"
+    if 200 <= reply.status < 300 and reply.get(b"x-backend-seal") is None:
+        return "a success without a seal"
+    if reply.get(b"content-encoding") not in (None, b"identity"):
+        return "an encoded body"
+    return None
+
+
+async def attempt(yard: Yard[Line], backend: Backend, request: Request, limit_ns: int) -> Tried:
+    """Never raises but for a cancel; the line is kept or ended."""
+    start = now_ns()
+    yard.begin(backend.ident)
+    line: Line | None = None
+    try:
+        line = yard.take(start, backend.ident)
+        if line is None:
+            wait_s = min(CONNECT_S, max(0.001, (limit_ns - start) / 1e9))
+            line = await connect(backend.host, backend.port, wait_s)
+        left = (limit_ns - now_ns()) // MS
+        headers = [*request.headers, (b"x-deadline-ms", str(max(1, left)).encode()),
+                   (b"x-want-backend", backend.ident.encode())]
+        if request.body or request.method in BODIED:
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        reply = await line.ask(request.method, request.target, headers, request.body, ANSWER_MOST)
+        now = now_ns()
+        if reply.get(b"x-backend-load"):
+            load_told(yard, now, backend.ident, reply)
+        not_run = reply.get(b"x-not-run") is not None
+        if reply.status == 421:
+            line.close()
+            return Tried(UNRUN, reply, now - start, over=reply.get(b"x-backend-id") != backend.ident.encode())
+        if spoilt(request, reply):
+            # Guards against a late answer to an earlier request in this one's place.
+            line.close()
+            return Tried(DROPPED, None, now - start)
+        yard.keep(now, backend.ident, line, kept_s(reply))
+        return Tried(proof(reply.status, not_run), reply, now - start)
+    except NoAnswer as trouble:
+        if line is not None:
+            line.close()
+        if not trouble.ran:
+            yard.unreached(now_ns(), backend.ident)
+        return Tried(DROPPED if trouble.ran else UNRUN, None, now_ns() - start, reached=trouble.ran)
+    except asyncio.CancelledError:
+        if line is not None:
+            line.close()
+        raise
+    finally:
+        yard.end(backend.ident)
+
+
+def load_told(yard: Yard[Line], now: int, ident: str, reply: Reply) -> None:
+    parts = (reply.get(b"x-backend-load") or b"").split(b",")
+    if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+        yard.told(now, ident, int(parts[0]), int(parts[1]))
--- /dev/null
+++ b/meadowworks/junction/program.py
@@ -0,0 +1,388 @@
+"""The junction's process: its doors, its pulls of news, each request's way from client to backend and back."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import time
+from typing import Any
+from uuid import uuid4
+
+import xxhash
+
+from meadowworks.attempts.again import ANSWERED, come_back_ns
+from meadowworks.carriage.budget import Budget
+from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
+from meadowworks.carriage.yard import Yard
+from meadowworks.junction.forward import Request, Tried, attempt, back_headers, on_headers
+from meadowworks.junction.upstream import Upstream
+from meadowworks.points.figures import PREFIX as FIGURES
+from meadowworks.points.figures import Sums
+from meadowworks.points.service import Met, Service
+from meadowworks.roster.beats import DRAINING, GONE
+from meadowworks.roster.lives import Lives
+from meadowworks.telegraph import post
+from meadowworks.telegraph.members import Card, Members
+from meadowworks.telegraph.news import News, Told
+from meadowworks.timetable.routes import Route, Timetable
+from meadowworks.timetable.routes import load as load_table
+from meadowworks.track import logs
+from meadowworks.track.boot import Boot, load
+from meadowworks.track.door import Door, answer, whole_body
+from meadowworks.track.errors import BadSettings, NoAnswer
+from meadowworks.track.line import Line, Reply
+from meadowworks.track.peer import Peer
+from meadowworks.track.program import Tasks, now_ns, run
+
+MS, SECOND = 1_000_000, 1_000_000_000
+PULL_MS, PULL_S = 1000, 1.6
+POLLS_S = 2.3  # that connections may still come for after readyz says no: two polls a second apart
+SETTLE_NS = 3 * SECOND  # that a first list is waited for until every service has a backend
+log = logs.part("junction")
+
+
+class Junction:
+    def __init__(self, boot: Boot) -> None:
+        self.boot = boot
+        self.life = f"{boot.node}.{uuid4().hex[:8]}"
+        card = Card(boot.node, boot.ip, boot.inner, boot.zone, False, self.life, int(time.time()))
+        self.members = Members(card, random.getrandbits(32))
+        self.news = News(self.life)
+        self.lives = Lives(lambda name: self.news.quiet(now_ns(), name), now_ns)
+        self.news.listeners += [self.lives.told, self.figures]
+        self.upstream = Upstream(boot.zone)
+        self.peers: dict[tuple[str, int], Peer] = {}
+        self.table: Timetable | None = None
+        self.services: dict[str, Service] = {}
+        self.budgets: dict[str, Budget] = {}
+        self.yard: Yard[Line] = Yard()
+        self.sums, self.own = Sums(), Sums()
+        self.sure_ns = 0  # when a signalbox that was sure first answered
+        self.ready = self.leaving = False
+        self.random = random.Random()
+        self.counts: dict[str, int] = {}
+        self.tasks = Tasks()
+        self.door, self.polls, self.inner = Door(self.app), Door(self.readyz), Door(self.asked)
+
+    # -- what is known
+
+    def figures(self, event: Told) -> None:
+        """The figures of a zone, as a signalbox has added them up."""
+        zone = event.key.removeprefix(FIGURES)
+        if not event.key.startswith(FIGURES) or event.value is None or zone not in self.boot.zones:
+            return
+        try:
+            covers_ms, met, asked = event.value
+            self.heard(zone, int(covers_ms), met, dict(asked))
+        except (TypeError, ValueError) as trouble:
+            log.warning("figures without sense: {}", trouble)
+
+    def heard(self, zone: str, covers_ms: int, met: Any, asked: dict[str, int]) -> None:
+        now, place = now_ns(), self.boot.zones.index(zone)
+        by_service: dict[str, dict[str, Met]] = {}
+        for ident, tries, bad, spent in met:
+            if known := self.lives.known.get(ident):
+                mean = int(spent * MS / max(1, tries - bad))
+                by_service.setdefault(known.svc, {})[ident] = Met(tries, bad, mean)
+        for name, service in self.services.items():
+            service.heard(now, place, by_service.get(name, {}), asked.get(name, 0), max(1, covers_ms) * MS)
+
+    def take_table(self, table: Timetable) -> None:
+        """A version comes into force, whole: what begins from now on goes by it. Never an older one."""
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        limits = self.door.state.limits
+        limits.header_bytes, limits.header_s = table.header_bytes, table.header_ms / 1000
+        limits.idle_s = table.idle_ms / 1000
+        targets: dict[str, float] = {}
+        for routes in table.hosts.values():
+            for route in routes.values():
+                for name, _ in route.split:
+                    targets[name] = max(targets.get(name, 0.0), route.target_ms)
+        for name in table.services:
+            target_ns = int(targets.get(name, 1000.0) * MS) or SECOND
+            if name in self.services:
+                self.services[name].aims(target_ns)
+            else:
+                self.services[name] = Service(name, self.boot.zones, self.boot.zone, target_ns,
+                                              self.random.getrandbits(32), now_ns())
+        log.info("version {:08x} is in force", table.version)
+        self.lives.changed |= set(self.lives.known)
+        self.relist()
+
+    def relist(self) -> None:
+        """Hands lives that have changed to their services' controllers."""
+        if not self.lives.changed:
+            return
+        self.lives.changed.clear()
+        listing, now = self.lives.listing(), now_ns()
+        for name, service in self.services.items():
+            service.listed(now, listing.get(name, []))
+        self.yard.sweep(now, set(self.lives.known))
+
+    def is_ready(self) -> bool:
+        now = now_ns()
+        if self.leaving or self.table is None or not self.sure_ns:
+            return False
+        named = {name for routes in self.table.hosts.values() for r in routes.values() for name, _ in r.split}
+        served = all(self.services[name].lines for name in named)
+        return served or now - self.sure_ns > SETTLE_NS
+
+    # -- pulls
+
+    def peer(self, host: str, port: int) -> Peer:
+        return self.peers.setdefault((host, port), Peer(host, port))
+
+    async def pull(self) -> None:
+        turn, born = 0, now_ns()
+        while True:
+            now = now_ns()
+            seeds = self.members.lonely(self.boot.seeds, self.boot.inner)
+            at = self.upstream.choose(now, self.members.voters(), seeds)
+            if at is None:
+                await asyncio.sleep(0.2)
+                continue
+            cards = (self.members.me,) if turn % 5 == 0 else ()
+            sums, self.sums = self.sums, Sums()
+            pull = post.Pull(self.members.me, cards, self.news.vector(),
+                             self.table.version if self.table else 0, PULL_MS, sums.pack() if sums else None)
+            try:
+                news = post.read_news(await self.peer(*at).call(b"/pull", pull.pack(), PULL_S))
+                table = load_table(news.table[1]) if news.table else None
+            except (NoAnswer, post.Garbled, ValueError, KeyError) as trouble:
+                log.info("no news from {}: {}", at[0], trouble)
+                self.sums.add(sums.pack())
+                self.upstream.failed(now_ns(), at[0])
+                await asyncio.sleep(0.1)
+                continue
+            turn, now = turn + 1, now_ns()
+            self.members.met(now, [news.me, *news.cards])
+            for piece in news.pieces:
+                self.news.take(now, piece)
+            if table is not None:
+                self.take_table(table)
+            self.relist()
+            if not news.sure:
+                # Guards against one that is cut off from the others and goes on telling what is old.
+                self.upstream.failed(now, at[0])
+                await asyncio.sleep(0.05)
+            if (news.sure or now - born > SETTLE_NS) and not self.sure_ns:
+                self.sure_ns = now
+
+    # -- from time to time
+
+    def second(self) -> None:
+        now = now_ns()
+        self.members.pulse()
+        self.members.expire(now)
+        self.news.expire(now)
+        self.lives.tick()
+        self.relist()
+        own, self.own = self.own, Sums()
+        mine = self.boot.zones.index(self.boot.zone)
+        if any(service.late(now, mine) for service in self.services.values()):
+            self.heard(self.boot.zone, 1000, own.pack()[0], own.asked)
+        self.yard.sweep(now, set(self.lives.known))
+
+    def half(self) -> None:
+        now = now_ns()
+        for service in self.services.values():
+            service.tick(now)
+            for note in service.notes:
+                log.info("{}: {}", service.name, note)
+            service.notes.clear()
+
+    # -- a request
+
+    async def app(self, scope: Any, receive: Any, send: Any) -> None:
+        came = now_ns()
+        table = self.table
+        if table is None:
+            return await self.refused(send, Refuse(503, 300 * MS))
+        host, ident, deadline = "", None, None
+        for name, value in scope["headers"]:
+            if name == b"host":
+                host = value.decode("latin-1")
+            elif name == b"x-request-id":
+                ident = value
+            elif name == b"x-deadline-ms":
+                deadline = value
+        body = await whole_body(receive, table.body_bytes)
+        if body is None:
+            return await answer(send, 413, b'{"err":"the body is too large"}')
+        target: bytes = scope["target"]
+        route = table.find(host, target.partition(b"?")[0].decode("latin-1"))
+        if route is None:
+            return await answer(send, 404, b'{"err":"there is no such route"}')
+        limit_ns = came + int(min(route.deadline_ms, milliseconds(deadline, route.deadline_ms)) * MS)
+        request = Request(scope["method"].encode(), target, on_headers(scope["headers"]), body, ident)
+        chance = xxhash.xxh32_intdigest(ident) / 2**32 if ident else self.random.random()
+        found = await self.travel(route, route.service(chance), request, limit_ns)
+        if isinstance(found, Refuse):
+            return await self.refused(send, found)
+        self.count(str(found.status))
+        await answer(send, found.status, found.body, back_headers(found))
+
+    async def travel(self, route: Route, name: str, request: Request, limit_ns: int) -> Reply | Refuse:
+        """The final answer of a request."""
+        now = now_ns()
+        service = self.services[name]
+        budget = self.budgets.get(name)
+        if budget is None:
+            bounds = self.boot.bounds
+            budget = self.budgets[name] = Budget(bounds.retry_ratio, int(bounds.retry_window_s * SECOND))
+        budget.request(now)
+        self.sums.came(name)
+        self.own.came(name)
+        if service.level < 1 and self.random.random() >= service.level:
+            self.count("let in no more")
+            return Refuse(503, come_back_ns(PACE_NS, service.level, self.random.random()))
+        jammed = service.retry == 0
+        journey = Journey(way(route.safe, limit_ns - now, int(route.target_ms * MS)),
+                          policy(route.safe, route.tries, jammed), limit_ns)
+        again = lambda: budget.take(now_ns())  # noqa: E731
+        tasks: dict[asyncio.Task[Tried], int] = {}
+        replies: dict[int, Reply | None] = {}
+        step: Step = journey.start(now, *self.seen(service, now), self.random.random())
+        try:
+            while True:
+                if isinstance(step, Forward):
+                    reply = replies[step.number]
+                    assert reply is not None
+                    return reply
+                if isinstance(step, Refuse):
+                    return step
+                if isinstance(step, Send):
+                    backend = self.lives.known[service.places.names[step.place]]
+                    tasks[self.tasks.start(self.attempt(backend, request, limit_ns))] = step.number
+                until = journey.wait(now_ns()).until_ns
+                done, _ = await asyncio.wait(tasks, timeout=max(0.0, (until - now_ns()) / 1e9),
+                                             return_when=asyncio.FIRST_COMPLETED)
+                now = now_ns()
+                lines, busy = self.seen(service, now)
+                if not done:
+                    step = journey.due(now, lines, busy, self.random.random(), again)
+                    continue
+                for task in done:
+                    number, tried = tasks.pop(task), task.result()
+                    replies[number] = tried.reply
+                    step = journey.ended(now, number, tried.state, tried.status, lines, busy,
+                                         self.random.random(), again)
+                    if isinstance(step, Forward):
+                        break
+        finally:
+            if now_ns() >= limit_ns:
+                for task in tasks:
+                    task.cancel()
+
+    async def attempt(self, backend: Any, request: Request, limit_ns: int) -> Tried:
+        tried = await attempt(self.yard, backend, request, limit_ns)
+        good = tried.state == ANSWERED
+        for sums in (self.sums, self.own):
+            sums.tried(backend.ident, good, tried.spent_ns / MS)
+        if tried.over:
+            log.info("{} is over: another answers at its address", backend.ident)
+            self.lives.ended(backend.ident)
+            self.relist()
+        return tried
+
+    def seen(self, service: Service, now: int) -> tuple[dict[int, float], dict[int, float]]:
+        """The service's table without what could not be reached just now, and how busy each is."""
+        names = service.places.names
+        kept: dict[int, float] = {}
+        lines: dict[int, float] = {}
+        busy: dict[int, float] = {}
+        for place, weight in service.lines.items():
+            ident = names[place]
+            known = self.lives.known.get(ident)
+            if known is None or known.state in (DRAINING, GONE):
+                continue  # the table is a moment behind the list
+            kept[place] = weight
+            if not self.yard.avoided(now, ident):
+                lines[place] = weight
+                busy[place] = self.yard.busy(now, ident)
+        return lines or kept, busy
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    async def refused(self, send: Any, refuse: Refuse) -> None:
+        self.count(f"own {refuse.status}")
+        headers = [(b"content-type", b"application/json")]
+        if refuse.back_ns:
+            headers.append((b"retry-after", f"{refuse.back_ns / 1e9:.3f}".encode()))
+        await answer(send, refuse.status, b'{"err":"no backend answered"}', headers)
+
+    # -- other doors
+
+    async def readyz(self, scope: Any, receive: Any, send: Any) -> None:
+        await answer(send, 200 if self.is_ready() else 503)
+
+    async def asked(self, scope: Any, receive: Any, send: Any) -> None:
+        await whole_body(receive, 65536)
+        if scope["path"] != "/status":
+            return await answer(send, 404)
+        await answer(send, 200, json.dumps(self.status()).encode())
+
+    def status(self) -> dict[str, Any]:
+        return {
+            "node": self.boot.node, "ready": self.is_ready(),
+            "version": f"{self.table.version if self.table else 0:08x}", "answers": self.counts,
+            "services": {name: {"level": s.level, "table": {s.places.names[p]: round(w, 3)
+                                                           for p, w in s.lines.items()}}
+                         for name, s in self.services.items()},
+            "backends": self.lives.summary(),
+        }
+
+    def again(self) -> None:
+        """Reads the settings again: the seeds may be others now."""
+        try:
+            self.boot = load()
+        except BadSettings as trouble:
+            log.warning("settings not taken, the old ones stand: {}", trouble)
+
+    async def serve(self, told: asyncio.Future[None]) -> None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.again)
+        await self.inner.open(self.boot.ip, self.boot.inner)
+        await self.polls.open(*self.boot.bind["readyz"])
+        await self.door.open(*self.boot.bind["http"])
+        log.info("{} serves", self.boot.node)
+        self.tasks.start(self.pull())
+        self.tasks.start(self.tasks.every(1.0, self.second))
+        self.tasks.start(self.tasks.every(0.1, self.half))
+        await asyncio.wait([told, self.tasks.broken], return_when=asyncio.FIRST_COMPLETED)
+        if self.tasks.broken.done():
+            self.tasks.broken.result()
+        await self.leave()
+
+    async def leave(self) -> None:
+        """Says that it is not ready, serves whom the platform still sends, then ends what is idle, and itself
+        when nothing is at work any more."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        self.leaving = True
+        log.info("told to end: {} at work, answers {}", self.door.at_work(), self.counts)
+        self.door.leave()
+        await asyncio.sleep(min(POLLS_S, self.boot.bounds.grace_s / 2))
+        self.door.shut()
+        while self.door.at_work() and loop.time() - start < self.boot.bounds.grace_s - 0.3:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.02)
+
+
+def milliseconds(text: bytes | None, otherwise: float) -> float:
+    try:
+        return float(text) if text is not None else otherwise
+    except ValueError:
+        return otherwise
+
+
+async def serve(boot: Boot, told: asyncio.Future[None]) -> None:
+    await Junction(boot).serve(told)
+
+
+def main() -> int:
+    return run(serve)
--- /dev/null
+++ b/meadowworks/points/figures.py
@@ -0,0 +1,47 @@
+"""What a junction counts of the answers that it forwards, and what a signalbox makes of a zone's junctions.
+
+A junction sums over its pulls; a signalbox adds up what the junctions of a zone have told it over a second and
+says that as its own news. So the bytes between zones do not grow with the number of junctions.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+PREFIX = "f/"  # of the keys under which zones' figures are said
+
+
+@dataclass(slots=True)
+class Sums:
+    """By backend: tries, failures and milliseconds of the good ones, summed; calls asked by service."""
+
+    met: dict[str, list[float]] = field(default_factory=dict)
+    asked: dict[str, int] = field(default_factory=dict)
+
+    def tried(self, ident: str, good: bool, spent_ms: float) -> None:
+        one = self.met.setdefault(ident, [0, 0, 0.0])
+        one[0] += 1
+        one[1] += not good
+        one[2] += spent_ms if good else 0.0
+
+    def came(self, service: str) -> None:
+        self.asked[service] = self.asked.get(service, 0) + 1
+
+    def add(self, raw: Any) -> None:
+        """What a junction told. Raises ValueError or TypeError for what is malformed."""
+        met, asked = raw
+        for ident, tries, bad, spent in met:
+            one = self.met.setdefault(str(ident), [0, 0, 0.0])
+            one[0] += int(tries)
+            one[1] += int(bad)
+            one[2] += float(spent)
+        for service, calls in asked:
+            self.asked[str(service)] = self.asked.get(str(service), 0) + int(calls)
+
+    def pack(self) -> list[Any]:
+        return [[[i, int(t), int(b), round(s)] for i, (t, b, s) in self.met.items()],
+                [[s, n] for s, n in self.asked.items()]]
+
+    def __bool__(self) -> bool:
+        return bool(self.met or self.asked)
--- /dev/null
+++ b/meadowworks/points/service.py
@@ -0,0 +1,156 @@
+"""One service: its controller, fed by figures, and the table of the junction's own zone that comes of it.
+
+Figures are sums over a second: what all junctions of a zone met at a backend, and what was asked of them.
+The zone's view is built of the whole zone's figures, so each junction's views stand for the whole service and
+all come to nearly the same tables and level.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from meadowworks.door import Names
+from meadowworks.host import Entry, Route, Settings
+from meadowworks.roster.beats import DRAINING, UP
+from meadowworks.roster.lives import Backend
+from meadowworks.rules import Controller
+
+SECOND = 1_000_000_000
+REPORT_NS = SECOND
+COLD_NS = 30 * SECOND  # of backends that do not tell how long they are slow
+AMPLE = 1e12  # what the channel to a table in the same process bears
+LATE_NS = 3 * SECOND  # figures of the zone older than this are replaced by this junction's own
+
+
+@dataclass(frozen=True, slots=True)
+class Met:
+    """At one backend: tries, those that failed, and the mean latency of the good ones in nanoseconds."""
+
+    tries: int
+    bad: int
+    latency_ns: int
+
+
+def settings(zones: int, target_ns: int, cold_ns: int) -> Settings:
+    return Settings(
+        routes=(Route(1.0, target_ns, False),), zones=zones, proxies=zones, connections=0.0, controllers=1,
+        by_zone=False, subscribe=False, ask_within_ns=SECOND, only_draining_binds=True, probes=False,
+        level_kind="share", base_retry=1, ejects=0, report_ns=REPORT_NS, fixed_weights=True,
+        channel_rate=AMPLE, queue_cap=AMPLE, head=1.0, messages_most=0, messages_over_ns=SECOND,
+        delay_most_ns=REPORT_NS, cold_share=0.1, tip=1.0, cold_ns=cold_ns, slices=0, exclusive=False,
+        lease_ns=0, in_flight_ns=0,
+    )
+
+
+class Service:
+    """The controller's host. Zones are in the order given; `mine` is the junction's own."""
+
+    def __init__(self, name: str, zones: Sequence[str], mine: str, target_ns: int, seed: int, now: int) -> None:
+        self.name, self.zones = name, {zone: place for place, zone in enumerate(zones)}
+        self.mine = self.zones[mine]
+        self.places = Names()
+        self.lines: dict[int, float] = {}  # the table of the own zone
+        self.level, self.retry = 1.0, 1
+        self.marked: list[int] = []
+        self.cold_ns = COLD_NS
+        self.wake_ns = now
+        self.states: dict[str, str] = {}
+        self.heard_ns: dict[int, int] = {}  # by zone: when figures of it last came
+        self.notes: list[str] = []
+        self.controller = Controller(self, settings(len(zones), target_ns, COLD_NS), seed, now)
+        for place in self.zones.values():
+            self.controller.joined(now, place, place, 0.0)
+
+    # -- the controller's host
+
+    def record(self, line: str) -> None:
+        self.notes.append(line)
+
+    def track(self, on: bool) -> None:
+        pass
+
+    def probe(self, backend: int) -> None:
+        pass
+
+    def forget(self, backend: int) -> None:
+        if name := self.places.names.get(backend):
+            self.states.pop(name, None)
+            self.places.free(backend)
+
+    def mark(self, number: int) -> None:
+        self.marked.append(number)
+
+    def wake_in(self, wait_ns: int) -> None:
+        self.wake_ns += wait_ns
+
+    def set_line(self, table: int, backend: int, weight: float) -> None:
+        if table != self.mine:
+            return
+        if weight > 0:
+            self.lines[backend] = weight
+        else:
+            self.lines.pop(backend, None)
+
+    def bind(self, routes: int, proxy: int, table: int) -> None:
+        pass
+
+    def admit(self, table: int, routes: int, level: float, retry: int) -> None:
+        if table == self.mine:
+            self.level, self.retry = level, retry
+
+    # -- what happens
+
+    def aims(self, target_ns: int) -> None:
+        """The time within which the operator wants this service's answers, as a new configuration says."""
+        old = self.controller.set
+        self.controller.set = replace(old, routes=(replace(old.routes[0], slo_ns=target_ns),))
+
+    def applied(self, now: int) -> None:
+        """Orders within one process are carried out at once."""
+        while self.marked:
+            self.controller.applied(now, self.marked.pop(0))
+
+    def listed(self, now: int, backends: Iterable[Backend]) -> None:
+        """The lives of this service as they are now; only what has changed is handed on."""
+        entries, named = [], set()
+        for b in backends:
+            named.add(b.ident)
+            if self.states.get(b.ident) == b.state or b.zone not in self.zones:
+                continue
+            if b.warm_ns and self.cold_ns == COLD_NS:
+                # The backends tell how long they are slow: that takes the place of the usual time.
+                self.cold_ns = b.warm_ns - b.since_ns
+                self.controller.set = replace(self.controller.set, cold_ns=self.cold_ns)
+            self.states[b.ident] = b.state
+            state = {UP: "ready", DRAINING: "draining"}.get(b.state, "gone")
+            entries.append(Entry(self.places.index(b.ident), self.zones[b.zone], state,
+                                 b.since_ns if b.warm_ns else 0, b.capacity))
+        for ident in [i for i, state in self.states.items() if i not in named and state != "over"]:
+            self.states[ident] = "over"
+            place = self.places.index(ident)
+            known = self.controller.backends.get(place)
+            if known is not None:
+                # First draining, so that it is not held as one that the list only misses.
+                entries.append(Entry(place, known.zone, "draining", known.since_ns, known.weight))
+                entries.append(Entry(place, known.zone, "gone", known.since_ns, known.weight))
+        if entries:
+            self.controller.listed(now, "changes", entries)
+            self.applied(now)
+
+    def heard(self, now: int, zone: int, met: Mapping[str, Met], asked: int, covers_ns: int) -> None:
+        """The figures of one zone over a stretch of time."""
+        for ident, m in met.items():
+            if (place := self.places.places.get(ident)) is not None:
+                self.controller.heard(now, zone, place, m.tries, m.bad, m.latency_ns, covers_ns, {})
+        self.controller.asked(now, zone, 0, asked, 0, covers_ns)
+        self.heard_ns[zone] = now
+
+    def late(self, now: int, zone: int) -> bool:
+        return now - self.heard_ns.get(zone, 0) > LATE_NS
+
+    def tick(self, now: int) -> None:
+        if now >= self.wake_ns:
+            self.wake_ns = max(self.wake_ns, now - REPORT_NS)
+            self.controller.tick(now)
+            self.applied(now)
--- /dev/null
+++ b/meadowworks/signalbox/__main__.py
@@ -0,0 +1,3 @@
+from meadowworks.signalbox.program import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/meadowworks/signalbox/program.py
@@ -0,0 +1,268 @@
+"""The signalbox's process: its doors, its pulls of others' news, its clock."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import sqlite3
+import tempfile
+import time
+from typing import Any
+from uuid import uuid4
+
+from meadowworks.depot.disk import Disk
+from meadowworks.points.figures import PREFIX as FIGURES
+from meadowworks.points.figures import Sums
+from meadowworks.roster.beats import PREFIX as BACKENDS
+from meadowworks.roster.beats import Beats
+from meadowworks.roster.lives import Lives
+from meadowworks.signalbox.office import Office
+from meadowworks.signalbox.resources import Backends, Config, routes
+from meadowworks.telegraph import post
+from meadowworks.telegraph.members import Card, Members
+from meadowworks.telegraph.news import News, Piece, Told
+from meadowworks.timetable import register
+from meadowworks.timetable.register import Held
+from meadowworks.track import logs
+from meadowworks.track.boot import Boot, load
+from meadowworks.track.door import Door, Limits, answer, whole_body
+from meadowworks.track.errors import BadSettings, NoAnswer
+from meadowworks.track.peer import Peer
+from meadowworks.track.program import Tasks, now_ns, run
+
+PULL_MS, PULL_S = 1000, 2.0  # that a pull may be held back, and is waited for
+TOUCH_NS = 2_500_000_000  # a voter that answered a pull within this is in touch
+BODY_MOST = 64 << 20
+log = logs.part("box")
+
+
+class Signalbox:
+    def __init__(self, boot: Boot) -> None:
+        self.boot = boot
+        self.life = f"{boot.node}.{uuid4().hex[:8]}"
+        card = Card(boot.node, boot.ip, boot.inner, boot.zone, boot.voting, self.life, int(time.time()))
+        self.members = Members(card, random.getrandbits(32))
+        self.news = News(self.life)
+        self.news.listeners.append(self.told)
+        self.lives = Lives(lambda name: self.news.quiet(now_ns(), name), now_ns)
+        self.news.listeners.append(self.lives.told)
+        self.beats = Beats(self.news.say, boot.heartbeat_ms)
+        self.peers: dict[tuple[str, int], Peer] = {}
+        self.pulling: set[tuple[str, int]] = set()
+        self.touched_ns: dict[str, int] = {}
+        self.waiting: set[asyncio.Future[None]] = set()
+        self.sums: dict[str, Sums] = {}
+        self.summed_ns = now_ns()
+        self.pulse = 0
+        folder = boot.datadir or tempfile.mkdtemp(prefix="meadowworks-")
+        self.office = Office(Disk(folder), boot.bootstrap or not boot.voting, boot.tolerate, self.members,
+                             self.peer, self.learnt)
+        self.backends = Backends(self.beats, self.news, self.members, boot.tolerate)
+        self.routes = routes(self.backends, Config(self.office))
+        self.tasks = Tasks()
+
+    def peer(self, host: str, port: int) -> Peer:
+        return self.peers.setdefault((host, port), Peer(host, port))
+
+    # -- what wakes a pull
+
+    def told(self, event: Told) -> None:
+        if event.key.startswith(BACKENDS):
+            self.ring()
+
+    def learnt(self, held: Held) -> None:
+        self.ring()
+
+    def ring(self) -> None:
+        waiting, self.waiting = self.waiting, set()
+        for one in waiting:
+            if not one.done():
+                one.set_result(None)
+
+    # -- the inner door
+
+    async def inner(self, scope: Any, receive: Any, send: Any) -> None:
+        body = await whole_body(receive, BODY_MOST)
+        if body is None:
+            return await answer(send, 413)
+        try:
+            match scope["path"]:
+                case "/pull":
+                    return await answer(send, 200, await self.pulled(post.read_pull(body)), [])
+                case "/letter":
+                    letter = register.unpack(post.unpack(body))
+                    reply = await self.office.answer(letter)  # type: ignore[arg-type]
+                    return await answer(send, 200, post.pack(register.pack(reply)), [])
+                case "/status":
+                    return await answer(send, 200, json.dumps(self.status()).encode())
+        except (post.Garbled, ValueError, TypeError, IndexError) as trouble:
+            log.warning("a call without sense: {}", trouble)
+            return await answer(send, 400)
+        except sqlite3.Error as trouble:
+            log.warning("the disk refuses: {}", trouble)
+            return await answer(send, 503)
+        await answer(send, 404)
+
+    async def pulled(self, pull: post.Pull) -> bytes:
+        now = now_ns()
+        self.members.met(now, [pull.me, *pull.cards])
+        self.news.asked(pull.me.host, pull.vector)
+        if pull.me.voting:
+            self.backends.heard()
+        if pull.figures:
+            self.sums.setdefault(pull.me.zone, Sums()).add(pull.figures)
+        end = asyncio.get_running_loop().time() + min(pull.wait_ms, PULL_MS) / 1000
+        pieces = self.news.lacks(pull.vector, pull.me.life)
+        while not self.urgent(pieces, pull):
+            if (left := end - asyncio.get_running_loop().time()) <= 0:
+                break
+            waiting: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self.waiting.add(waiting)
+            await asyncio.wait([waiting], timeout=left)
+            self.waiting.discard(waiting)
+            pieces = self.news.lacks(pull.vector, pull.me.life)
+        held = self.office.box.held
+        table = (held.version, held.content) if held.version > pull.table else None
+        cards = tuple(self.members.swap()[1:]) if pull.cards else ()
+        return post.News(self.members.me, cards, tuple(pieces), self.sure(), table).pack()
+
+    def urgent(self, pieces: list[Piece], pull: post.Pull) -> bool:
+        return (self.office.box.held.version > pull.table or not pull.vector
+                or any(key.startswith(BACKENDS) for p in pieces for _, key, _ in p.changes))
+
+    def sure(self) -> bool:
+        """Whether what is held here is new: a majority of disks is in touch."""
+        now = now_ns()
+        touched = sum(now - self.touched_ns.get(c.host, 0) < TOUCH_NS for c in self.members.voters())
+        return self.office.box.sound and 1 + touched > self.boot.tolerate
+
+    # -- pulls of others' news
+
+    async def pull(self, host: str, port: int) -> None:
+        """Pulls from one signalbox until it is no longer known."""
+        peer, turn = self.peer(host, port), 0
+        try:
+            while any(c.host == host for c in self.members.voters()) or self.is_seed(host):
+                cards = tuple(self.members.swap()[1:]) if turn % 5 == 0 else ()
+                pull = post.Pull(self.members.me, cards or (self.members.me,) if turn % 5 == 0 else (),
+                                 self.news.vector(), self.office.box.held.version, PULL_MS)
+                try:
+                    news = post.read_news(await peer.call(b"/pull", pull.pack(), PULL_S))
+                except (NoAnswer, post.Garbled) as trouble:
+                    log.debug("no news: {}", trouble)
+                    await asyncio.sleep(0.2)
+                    continue
+                turn += 1
+                now = now_ns()
+                self.touched_ns[host] = now
+                self.members.met(now, [news.me, *news.cards])
+                for piece in news.pieces:
+                    self.news.take(now, piece)
+                if news.table is not None:
+                    try:
+                        await self.office.learn(*news.table)
+                    except sqlite3.Error as trouble:
+                        log.warning("the disk refuses: {}", trouble)
+        finally:
+            self.pulling.discard((host, port))
+
+    def is_seed(self, host: str) -> bool:
+        return any(host == seed for seed, _ in self.boot.seeds)
+
+    def neighbours(self) -> None:
+        """Begins to pull from each signalbox that is known, and from seeds that nobody speaks for."""
+        at = [(c.host, c.port) for c in self.members.voters()]
+        for address in [*at, *self.members.lonely(self.boot.seeds, self.boot.inner)]:
+            if address not in self.pulling and address[0] != self.boot.ip:
+                self.pulling.add(address)
+                self.tasks.start(self.pull(*address))
+
+    # -- from time to time
+
+    def second(self) -> None:
+        now = now_ns()
+        self.members.pulse()
+        self.members.expire(now)
+        self.news.expire(now)
+        self.beats.tick(now)
+        self.lives.tick()
+        self.lives.changed.clear()
+        self.pulse += 1
+        self.news.say("pulse", self.pulse)
+        covers_ms = (now - self.summed_ns) // 1_000_000
+        self.summed_ns = now
+        for zone, sums in self.sums.items():
+            if sums or self.news.sources[self.life].entries.get(FIGURES + zone, (0, None))[1]:
+                self.news.say(FIGURES + zone, [covers_ms, *sums.pack()] if sums else None)
+        self.sums = {zone: Sums() for zone in self.sums}
+
+    def status(self) -> dict[str, Any]:
+        box = self.office.box
+        return {
+            "node": self.boot.node, "sure": self.sure(), "sound": box.sound, "era": box.era,
+            "version": f"{box.held.version:08x}", "undecided": [f"{v:08x}" for v in sorted(box.slots)],
+            "members": [[k.card.name, k.card.host, k.card.zone, k.card.voting, k.card.beat]
+                        for k in self.members.view.values()],
+            "sources": self.news.own_vector(), "backends": self.lives.summary(),
+        }
+
+    # -- the outer door
+
+    async def ctl(self, scope: Any, receive: Any, send: Any) -> None:
+        body = await whole_body(receive, BODY_MOST)
+        if body is None:
+            return await answer(send, 413)
+        name, _, ident = scope["path"].removeprefix("/api/").partition("/")
+        act = self.routes.get((scope["method"], name))
+        if act is None or not scope["path"].startswith("/api/"):
+            return await answer(send, 404, b'{"err":"there is no such call"}')
+        try:
+            found = await act(ident, body)
+        except sqlite3.Error as trouble:
+            log.warning("the disk refuses: {}", trouble)
+            return await answer(send, 503, b'{"err":"the disk refuses"}')
+        headers = [(b"content-type", b"application/json")]
+        if found.retry_s:
+            headers.append((b"retry-after", f"{found.retry_s:g}".encode()))
+        await answer(send, found.status, found.body, headers)
+
+    def again(self) -> None:
+        """Reads the settings again: the seeds may be others now."""
+        try:
+            self.boot = load()
+        except BadSettings as trouble:
+            log.warning("settings not taken, the old ones stand: {}", trouble)
+
+    async def serve(self, told: asyncio.Future[None]) -> None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.again)
+        inner, ctl = Door(self.inner, Limits(65536, 3.0, 30.0)), Door(self.ctl, Limits(65536, 3.0, 30.0))
+        await inner.open(self.boot.ip, self.boot.inner)
+        await self.office.begin()
+        await ctl.open(*self.boot.bind["ctl"])
+        log.info("{} serves", self.boot.node)
+        self.neighbours()
+        self.tasks.start(self.office.enter())
+        self.tasks.start(self.tasks.every(1.0, self.second))
+        self.tasks.start(self.tasks.every(0.25, self.neighbours))
+        self.tasks.start(self.tasks.every(0.1, self.office.finish))
+        await asyncio.wait([told, self.tasks.broken], return_when=asyncio.FIRST_COMPLETED)
+        if self.tasks.broken.done():
+            self.tasks.broken.result()
+        log.info("told to end")
+        ctl.leave()
+        inner.leave()
+        self.ring()
+        end = asyncio.get_running_loop().time() + min(1.5, self.boot.bounds.grace_s / 2)
+        while asyncio.get_running_loop().time() < end and (ctl.at_work() or inner.at_work()):
+            await asyncio.sleep(0.05)
+        await self.office.save()
+
+
+async def serve(boot: Boot, told: asyncio.Future[None]) -> None:
+    await Signalbox(boot).serve(told)
+
+
+def main() -> int:
+    return run(serve)
--- /dev/null
+++ b/meadowworks/signalbox/resources.py
@@ -0,0 +1,132 @@
+"""What backends and the operator call: one handler object a resource, each call an answer as a value."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from meadowworks.roster.beats import Bad, Beats
+from meadowworks.signalbox.office import Office
+from meadowworks.telegraph.members import Members
+from meadowworks.telegraph.news import News
+from meadowworks.timetable.check import Invalid, check
+from meadowworks.timetable.register import Chosen, Overtaken
+from meadowworks.track import logs
+from meadowworks.track.program import now_ns
+
+HELD_S = 0.7  # that a drain's acknowledgement waits for others to hold it: a caller gives a beat a second
+PROPOSE_NS = 800_000_000
+READ_NS = 800_000_000
+log = logs.part("ctl")
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    body: bytes = b"{}"
+    retry_s: float = 0.0
+
+
+def error(status: int, why: str, retry_s: float = 0.0) -> Answer:
+    return Answer(status, json.dumps({"err": why}).encode(), retry_s)
+
+
+class Backends:
+    """Beats and leaves. A drain is acknowledged only once so many other disks' controllers know of it that
+    the loss of those which may be lost leaves one that does."""
+
+    def __init__(self, beats: Beats, news: News, members: Members, others: int) -> None:
+        self.beats, self.news, self.members, self.others = beats, news, members, others
+        self.moved: set[asyncio.Future[None]] = set()
+
+    def heard(self) -> None:
+        """A peer has asked for news: what it holds may have risen."""
+        for waiting in self.moved:
+            if not waiting.done():
+                waiting.set_result(None)
+
+    def known(self, version: int) -> bool:
+        hosts = {card.host for card in self.members.voters()}
+        return len(self.news.holders(version) & hosts) >= self.others
+
+    async def kept(self, version: int) -> bool:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + HELD_S
+        while not self.known(version):
+            if (left := end - loop.time()) <= 0:
+                return False
+            waiting: asyncio.Future[None] = loop.create_future()
+            self.moved.add(waiting)
+            try:
+                await asyncio.wait([waiting], timeout=left)
+            finally:
+                self.moved.discard(waiting)
+        return True
+
+    async def heartbeat(self, ident: str, body: bytes) -> Answer:
+        try:
+            document = json.loads(body)
+        except (ValueError, RecursionError):
+            return error(400, "no JSON")
+        found = self.beats.beat(now_ns(), ident, document)
+        if isinstance(found, Bad):
+            return error(400, found.why)
+        if found.version and not await self.kept(found.version):
+            return error(503, "too few controllers know of it yet", 0.2)
+        return Answer(200)
+
+    async def leave(self, ident: str, body: bytes) -> Answer:
+        found = self.beats.leave(now_ns(), ident)
+        if not await self.kept(found.version):
+            return error(503, "too few controllers know of it yet", 0.2)
+        return Answer(200)
+
+
+class Config:
+    """The configuration: replaced by a higher version, read back as it was sent."""
+
+    def __init__(self, office: Office) -> None:
+        self.office = office
+
+    async def replace(self, ident: str, body: bytes) -> Answer:
+        found = check(body)
+        if isinstance(found, Invalid):
+            log.info("configuration refused: {}", found.why)
+            return error(400, found.why)
+        if not self.office.box.sound:
+            return error(503, "this disk does not know yet what is in force", 0.3)
+        held = self.office.box.held
+        if found.version > held.version:
+            outcome = await self.office.propose(found.version, body, now_ns() + PROPOSE_NS)
+            match outcome:
+                case Chosen(content=content):
+                    return Answer(200) if content == body else self.another(found.version)
+                case Overtaken(held=held):
+                    pass
+                case _:
+                    return error(503, "too few disks answer", 0.2)
+        if found.version == held.version and held.content != body:
+            return self.another(found.version)
+        return Answer(200)
+
+    def another(self, version: int) -> Answer:
+        return error(409, f"version {version:08x} has another content")
+
+    async def read(self, ident: str, body: bytes) -> Answer:
+        held = await self.office.newest(now_ns() + READ_NS)
+        if held is None:
+            return error(503, "too few disks answer", 0.2)
+        if not held.version:
+            return error(404, "no configuration has been taken yet")
+        return Answer(200, held.content)
+
+
+def routes(backends: Backends, config: Config) -> dict[tuple[str, str], Callable]:  # type: ignore[type-arg]
+    return {
+        ("POST", "Backends.Heartbeat"): backends.heartbeat,
+        ("POST", "Backends.Leave"): backends.leave,
+        ("POST", "Config.Replace"): config.replace,
+        ("GET", "Config.Read"): config.read,
+    }
--- /dev/null
+++ b/meadowworks/track/door.py
@@ -0,0 +1,178 @@
+"""Serving by HTTP/1.1: uvicorn's protocol with the limits that it does not hold itself."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Awaitable, Callable, MutableMapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from uvicorn.config import Config
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+Scope = MutableMapping[str, Any]
+App = Callable[[Scope, Callable[[], Awaitable[Any]], Callable[[Any], Awaitable[None]]], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Limits:
+    """What a caller may send, and how long it may take. They may change while a door is open."""
+
+    header_bytes: int = 16384
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass(slots=True)
+class State:
+    limits: Limits = field(default_factory=Limits)
+    leaving: bool = False
+
+
+class Caller(HttpToolsProtocol):
+    """One connection. Guards against headers that never end, that are too large, and two hosts in one."""
+
+    def __init__(self, state: State, **rest: Any) -> None:
+        super().__init__(**rest)
+        self.state = state
+        self.slow: asyncio.TimerHandle | None = None
+        self.counted = 0
+        self.reading = False  # whether the headers of a request are on their way
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        self.timeout_keep_alive = self.state.limits.idle_s  # type: ignore[assignment]
+        self.slow = self.loop.call_later(self.state.limits.idle_s, self.too_slow)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.calm()
+        super().connection_lost(exc)
+
+    def calm(self) -> None:
+        if self.slow is not None:
+            self.slow.cancel()
+            self.slow = None
+
+    def too_slow(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.close()
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.counted, self.reading = 0, True
+        self.calm()
+        self.slow = self.loop.call_later(self.state.limits.header_s, self.too_slow)
+
+    def data_received(self, data: bytes) -> None:
+        if self.reading:
+            self.counted += len(data)
+        super().data_received(data)
+        if self.reading and self.counted > self.state.limits.header_bytes and not self.transport.is_closing():
+            self.turn_away(431, "headers too large")
+
+    def on_headers_complete(self) -> None:
+        self.reading = False
+        self.calm()
+        size = sum(len(name) + len(value) + 4 for name, value in self.headers) + len(self.url)
+        if size > self.state.limits.header_bytes:
+            return self.turn_away(431, "headers too large")
+        if sum(name == b"host" for name, _ in self.headers) != 1:
+            # Guards against two readers of one request that go by different hosts.
+            return self.turn_away(400, "one Host is needed")
+        if not self.url.startswith(b"/"):
+            return self.turn_away(400, "the target is no path")
+        self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
+        super().on_headers_complete()
+        if self.state.leaving:
+            self.cycle.keep_alive = False
+
+    def on_body(self, body: bytes) -> None:
+        if not self.transport.is_closing():
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        if not self.transport.is_closing():
+            super().on_message_complete()
+
+    def turn_away(self, status: int, why: str) -> None:
+        self.transport.write(f"HTTP/1.1 {status} Refused\r\ncontent-type: text/plain\r\nconnection: close\r\n"
+                             f"content-length: {len(why)}\r\n\r\n{why}".encode())
+        self.transport.close()
+
+
+class Door:
+    """An address that is listened at, and its connections."""
+
+    def __init__(self, app: App, limits: Limits | None = None) -> None:
+        self.state = State(limits or Limits())
+        self.config = Config(app=app, http="httptools", ws="none", lifespan="off", log_config=None,
+                             access_log=False, server_header=False, date_header=False, interface="asgi3")
+        self.config.load()
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)  # bad input is no flood in the log
+        self.server_state = ServerState()
+        self.server: asyncio.Server | None = None
+
+    async def open(self, host: str, port: int) -> int:
+        """The port that is listened at. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        # With its protocol stated: else asyncio sets no TCP_NODELAY, and each answer waits for 40 ms.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError:
+            sock.close()
+            raise
+        sock.setblocking(False)
+        self.server = await loop.create_server(self.caller, sock=sock, backlog=1024)
+        return int(sock.getsockname()[1])
+
+    def caller(self) -> Caller:
+        return Caller(self.state, config=self.config, server_state=self.server_state, app_state={})
+
+    def at_work(self) -> int:
+        """Requests that are not answered yet."""
+        return len(self.server_state.tasks)
+
+    def leave(self) -> None:
+        """From now on each answer is the last of its connection; connections are still taken."""
+        self.state.leaving = True
+        for caller in list(self.server_state.connections):
+            if caller.cycle is not None and not caller.cycle.response_complete:
+                caller.cycle.keep_alive = False
+
+    def shut(self) -> None:
+        """No connection is taken any more; idle ones end, the others after their answer."""
+        if self.server is not None:
+            self.server.close()
+        for caller in list(self.server_state.connections):
+            if not getattr(caller, "reading", False):
+                caller.shutdown()
+
+
+async def whole_body(receive: Callable[[], Awaitable[Any]], most: int) -> bytes | None:
+    """The body of a request; nothing if it is larger, or its sender has gone."""
+    message = await receive()
+    body: bytes = message.get("body", b"")
+    if message["type"] == "http.request" and not message.get("more_body") and len(body) <= most:
+        return body
+    parts, size = [body], len(body)
+    while message["type"] == "http.request" and message.get("more_body"):
+        message = await receive()
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > most:
+            return None
+    return b"".join(parts) if message["type"] == "http.request" and size <= most else None
+
+
+async def answer(send: Callable[[Any], Awaitable[None]], status: int, body: bytes = b"",
+                 headers: list[tuple[bytes, bytes]] | None = None) -> None:
+    """A whole answer, of JSON unless a header says otherwise."""
+    said = headers if headers is not None else [(b"content-type", b"application/json")]
+    said = [*said, (b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": said})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/meadowworks/track/logs.py
@@ -0,0 +1,34 @@
+"""The log: short sentences on standard error, each with the prefix of its part."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Logger
+
+MOST_ALIKE = 20  # lines of one call site a minute: guards against a flood by what comes from outside
+
+
+def part(prefix: str) -> Logger:
+    return logger.bind(part=prefix)
+
+
+def start() -> None:
+    seen: dict[tuple[str | None, int], tuple[int, int]] = {}
+
+    def calm(record: dict) -> bool:  # type: ignore[type-arg]
+        minute = int(record["elapsed"].total_seconds()) // 60
+        at = (record["name"], record["line"])
+        when, count = seen.get(at, (minute, 0))
+        count = count + 1 if when == minute else 1
+        seen[at] = (minute, count)
+        return count <= MOST_ALIKE
+
+    logger.remove()
+    logger.configure(extra={"part": "main"})
+    logger.add(sys.stderr, format="{elapsed} {level.name} {extra[part]}: {message}", level="INFO",
+               backtrace=False, diagnose=False, colorize=False, filter=calm)  # type: ignore[arg-type]
--- /dev/null
+++ b/meadowworks/track/program.py
@@ -0,0 +1,93 @@
+"""What both programs share: their start from the settings, the clock, and tasks that must not fail unseen."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from meadowworks.track import logs
+from meadowworks.track.boot import Boot, load
+from meadowworks.track.errors import BadSettings, BrokenInvariant
+
+log = logs.part("start")
+
+
+def now_ns() -> int:
+    """The steady clock: comparable within one process alone."""
+    return time.monotonic_ns()
+
+
+class Tasks:
+    """Tasks of one program. A fault is logged and the others go on; a broken invariant ends the program."""
+
+    def __init__(self) -> None:
+        self.running: set[asyncio.Task[Any]] = set()
+        self.broken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def start(self, what: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(what)
+        self.running.add(task)
+        task.add_done_callback(self.ended)
+        return task
+
+    def ended(self, task: asyncio.Task[Any]) -> None:
+        self.running.discard(task)
+        if task.cancelled() or (trouble := task.exception()) is None:
+            return
+        if isinstance(trouble, BrokenInvariant):
+            if not self.broken.done():
+                self.broken.set_exception(trouble)
+        else:
+            log.opt(exception=trouble).error("a task failed")
+
+    async def every(self, seconds: float, act: Callable[[], Any]) -> None:
+        """Calls `act` again and again; a fault in one turn does not end the next."""
+        while True:
+            await asyncio.sleep(seconds)
+            try:
+                found = act()
+                if isinstance(found, Awaitable):
+                    await found
+            except BrokenInvariant:
+                raise
+            except Exception:
+                log.exception("a turn failed")
+
+
+def run(serve: Callable[[Boot, asyncio.Future[None]], Coroutine[Any, Any, None]]) -> int:
+    """Runs a program until it is told to end. 0 then, 2 on settings that make no sense, 1 on a fault."""
+    logs.start()
+    try:
+        boot = load()
+    except BadSettings as trouble:
+        print(f"meadowworks: {trouble}", file=sys.stderr)
+        return 2
+
+    async def whole() -> None:
+        loop = asyncio.get_running_loop()
+        told: asyncio.Future[None] = loop.create_future()
+
+        def end() -> None:
+            if not told.done():
+                told.set_result(None)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, end)
+        gc.collect()
+        gc.freeze()  # what the start has made stays: the collector need not look at it again
+        await serve(boot, told)
+
+    try:
+        asyncio.run(whole())
+    except OSError as trouble:
+        print(f"meadowworks: {trouble.strerror or trouble}", file=sys.stderr)
+        return 1
+    except Exception:
+        log.exception("the program ends")
+        return 1
+    return 0
