--- a/meadowworks/attempts/again.py
+++ b/meadowworks/attempts/again.py
@@ -66,13 +66,13 @@
     return open_to[-1][0] if open_to else None  # what rounding left over
 
 
-def easiest(lines: Mapping[int, float], tried: Container[int], busy: Mapping[int, float], chance: float,
-            ) -> int | None:
-    """The backend of the table, none that was tried, with the least work for its weight; `busy` is the calls
-    that each is known to be at work on. Among equals by weight."""
-    open_to = {p: (busy.get(p, 0.0) + 1) / w for p, w in lines.items() if w > 0 and p not in tried}
+def quickest(lines: Mapping[int, float], tried: Container[int], delays: Mapping[int, float], chance: float,
+             ) -> int | None:
+    """The backend of the table, none that was tried, that is expected to answer first; `delays` holds the
+    times, in any one unit. Among equals by weight."""
+    open_to = {p: delays.get(p, 0.0) for p, w in lines.items() if w > 0 and p not in tried}
     least = min(open_to.values(), default=0.0)
-    return pick({p: lines[p] for p, score in open_to.items() if score <= least * 1.0001}, (), chance)
+    return pick({p: lines[p] for p, delay in open_to.items() if delay <= least * 1.0001}, (), chance)
 
 
 def sure(tries: Sequence[Try]) -> bool:
@@ -91,16 +91,16 @@
 
 def again(
     way: Way, policy: int, tries: Sequence[Try], lines: Mapping[int, float], left_ns: int, chance: float,
-    busy: Mapping[int, float] | None = None,
+    delays: Mapping[int, float] | None = None,
 ) -> Again | Stop:
     """The decision after a try has ended. `lines` is the table as it is now: what drains is not in it. With
-    `busy` the easiest goes first, else it is by weight."""
+    `delays` the quickest goes first, else it is by weight."""
     if against := may_follow(way, policy, tries):
         return against
     if left_ns < max(1, way.least_ns):
         return NO_TIME
     tried = {one.backend for one in tries}
-    place = pick(lines, tried, chance) if busy is None else easiest(lines, tried, busy, chance)
+    place = pick(lines, tried, chance) if delays is None else quickest(lines, tried, delays, chance)
     return NO_LINE if place is None else Again(place)
 
 
--- a/meadowworks/carriage/budget.py
+++ b/meadowworks/carriage/budget.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 
-PART = 0.75  # of the ratio that is used: requests are counted by others at other moments
+PART = 0.9  # of the ratio that is used: requests are counted by others at other moments
 ALLOWANCE = 2  # further tries in a window beyond the requests' part
 
 
--- a/meadowworks/carriage/journey.py
+++ b/meadowworks/carriage/journey.py
@@ -23,7 +23,7 @@
     Way,
     again,
     come_back_ns,
-    easiest,
+    quickest,
     sure,
     wait_ns,
 )
@@ -87,11 +87,14 @@
     failed: dict[int, int] = field(default_factory=dict)  # tries whose answer is a backend's own failure
     over: bool = False
 
-    def start(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float) -> Step:
+    def start(self, now: int, lines: Mapping[int, float], delays: Mapping[int, float], chance: float) -> Step:
         if self.limit_ns - now < LEAST_NS:
             return self.refuse(now, chance)
-        place = easiest(lines, (), busy, chance)
-        return self.refuse(now, chance) if place is None else self.send(now, place, lines)
+        place = quickest(lines, (), delays, chance)
+        # Guards against work for nobody: with no hope of an answer in time it is refused at once.
+        if place is None or delays.get(place, 0.0) > self.limit_ns - now:
+            return self.refuse(now, chance)
+        return self.send(now, place, lines)
 
     def send(self, now: int, place: int, lines: Mapping[int, float]) -> Send:
         wait = wait_ns(self.way, self.policy, [*self.tries.values()], lines, self.limit_ns - now)
@@ -100,7 +103,7 @@
         return Send(number, place, now + wait)
 
     def ended(self, now: int, number: int, state: int, status: int, lines: Mapping[int, float],
-              busy: Mapping[int, float], chance: float, budget: Callable[[], bool]) -> Step:
+              delays: Mapping[int, float], chance: float, budget: Callable[[], bool]) -> Step:
         """A try has ended; `status` is its answer's, 0 if it has none. `budget` takes a further one out of
         the service's budget, if there is room."""
         self.tries[number].state = state
@@ -110,9 +113,9 @@
             self.failed[number] = status
         if any(one.state in (SENT, LATE) for one in self.tries.values()):
             return self.wait(now)
-        return self.follow(now, lines, busy, chance, budget)
+        return self.follow(now, lines, delays, chance, budget)
 
-    def due(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float,
+    def due(self, now: int, lines: Mapping[int, float], delays: Mapping[int, float], chance: float,
             budget: Callable[[], bool]) -> Step:
         """A try was waited for long enough: another may go beside it, whose answer counts as well. At the
         limit all is over."""
@@ -121,7 +124,7 @@
         for one in self.tries.values():
             if one.state == SENT and one.due_ns <= now:
                 one.state = LATE
-                found = self.another(now, lines, busy, chance, budget)
+                found = self.another(now, lines, delays, chance, budget)
                 if isinstance(found, Again):
                     return self.send(now, found.backend, lines)
         return self.wait(now)
@@ -130,15 +133,15 @@
         due = [one.due_ns for one in self.tries.values() if one.state == SENT and one.due_ns > now]
         return Wait(min([*due, self.limit_ns]))
 
-    def another(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float,
+    def another(self, now: int, lines: Mapping[int, float], delays: Mapping[int, float], chance: float,
                 budget: Callable[[], bool]) -> Again | Stop:
         tries = [*self.tries.values()]
-        found = again(self.way, self.policy, tries, lines, self.limit_ns - now, chance, busy)
+        found = again(self.way, self.policy, tries, lines, self.limit_ns - now, chance, delays)
         return found if isinstance(found, Stop) or budget() else SPENT
 
-    def follow(self, now: int, lines: Mapping[int, float], busy: Mapping[int, float], chance: float,
+    def follow(self, now: int, lines: Mapping[int, float], delays: Mapping[int, float], chance: float,
                budget: Callable[[], bool]) -> Step:
-        found = self.another(now, lines, busy, chance, budget)
+        found = self.another(now, lines, delays, chance, budget)
         if isinstance(found, Again):
             return self.send(now, found.backend, lines)
         if self.failed:  # the backend's own failure is the answer
--- a/meadowworks/carriage/yard.py
+++ b/meadowworks/carriage/yard.py
@@ -9,12 +9,15 @@
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
+from meadowworks.carriage.choice import learn
+
 SECOND = 1_000_000_000
 IDLE_NS = 4 * SECOND  # that a line is kept where its backend tells no time
 MARGIN_NS = SECOND  # before the time that it tells: guards against a request that crosses its close
 KEEP_MOST = 24  # idle lines a life
 AVOID_NS = SECOND  # that a backend which could not be reached is passed over
 TOLD_NS = 400_000_000  # for so long what a backend told of its load counts, ever less
+FAR_NS = 3 * SECOND  # for so long what the figures of its zone say of it does
 
 
 class Carrier(Protocol):
@@ -32,6 +35,9 @@
     under_way: int = 0  # tries of this junction
     others: float = 0.0  # calls of others, as last told
     told_ns: int = 0
+    far: float = 0.0  # calls there by its zone's figures
+    far_ns: int = -FAR_NS
+    needs: float | None = None  # nanoseconds that it takes for a call alone
     avoid_ns: int = 0
     idle: list[tuple[int, L]] = field(default_factory=list)  # until when, and the line; newest last
 
@@ -78,16 +84,28 @@
             stall.others = max(0.0, running + waiting - stall.under_way)
             stall.told_ns = now
 
+    def figures(self, now: int, ident: str, calls: float) -> None:
+        """What the junctions of its zone say of a backend's load, a moment ago."""
+        stall = self.stall(ident)
+        stall.far, stall.far_ns = calls, now
+
+    def answered(self, ident: str, spent_ns: int, busy: float, weight: float) -> None:
+        """A call was answered that found `busy` others there."""
+        if stall := self.stalls.get(ident):
+            stall.needs = learn(stall.needs, spent_ns, busy, weight)
+
     def unreached(self, now: int, ident: str) -> None:
         self.stall(ident).avoid_ns = now + AVOID_NS
 
-    def busy(self, now: int, ident: str) -> float:
-        """Calls that it is taken to be at work on: this junction's, and others' as told, fading."""
+    def busy(self, now: int, ident: str, home: bool) -> float:
+        """Calls that it is taken to be at work on: this junction's, and others' as it told, fading; of one
+        abroad, that is told of itself too seldom, what its zone's figures say."""
         stall = self.stalls.get(ident)
         if stall is None:
             return 0.0
         fresh = max(0.0, 1 - (now - stall.told_ns) / TOLD_NS)
-        return stall.under_way + stall.others * fresh
+        far = stall.far if not home and now - stall.far_ns < FAR_NS else 0.0
+        return stall.under_way + max(stall.others * fresh, far * (1 - fresh))
 
     def avoided(self, now: int, ident: str) -> bool:
         stall = self.stalls.get(ident)
@@ -96,9 +114,10 @@
     def sweep(self, now: int, living: set[str]) -> None:
         """Ends lines of lives that are over, and those that have been idle for long enough."""
         for ident, stall in list(self.stalls.items()):
-            for until, line in stall.idle:
-                if now >= until or ident not in living or not line.usable():
-                    line.close()
-            stall.idle = [(u, line) for u, line in stall.idle if now < u and ident in living and line.usable()]
+            good = [(u, line) for u, line in stall.idle if now < u and ident in living and line.usable()]
+            for kept in stall.idle:
+                if kept not in good:
+                    kept[1].close()
+            stall.idle = good
             if ident not in living and not stall.under_way:
                 del self.stalls[ident]
--- a/meadowworks/junction/forward.py
+++ b/meadowworks/junction/forward.py
@@ -36,13 +36,13 @@
 @dataclass(frozen=True, slots=True)
 class Tried:
     """How a try ended: `state` as `attempts` names it, the answer if there is a sound one. `over`: another
-    life answers at the address. `full`: its time was cut by none but itself."""
+    life answers at the address. `load`: calls running and waiting there, as its answer tells."""
 
     state: int
     reply: Reply | None
     spent_ns: int
     over: bool = False
-    reached: bool = True
+    load: tuple[int, int] | None = None
 
     @property
     def status(self) -> int:
@@ -99,8 +99,9 @@
             headers.append((b"content-length", str(len(request.body)).encode()))
         reply = await line.ask(request.method, request.target, headers, request.body, ANSWER_MOST)
         now = now_ns()
-        if reply.get(b"x-backend-load"):
-            load_told(yard, now, backend.ident, reply)
+        load = load_of(reply)
+        if load is not None:
+            yard.told(now, backend.ident, *load)
         not_run = reply.get(b"x-not-run") is not None
         if reply.status == 421:
             line.close()
@@ -110,13 +111,13 @@
             line.close()
             return Tried(DROPPED, None, now - start)
         yard.keep(now, backend.ident, line, kept_s(reply))
-        return Tried(proof(reply.status, not_run), reply, now - start)
+        return Tried(proof(reply.status, not_run), reply, now - start, load=load)
     except NoAnswer as trouble:
         if line is not None:
             line.close()
         if not trouble.ran:
             yard.unreached(now_ns(), backend.ident)
-        return Tried(DROPPED if trouble.ran else UNRUN, None, now_ns() - start, reached=trouble.ran)
+        return Tried(DROPPED if trouble.ran else UNRUN, None, now_ns() - start)
     except asyncio.CancelledError:
         if line is not None:
             line.close()
@@ -125,7 +126,9 @@
         yard.end(backend.ident)
 
 
-def load_told(yard: Yard[Line], now: int, ident: str, reply: Reply) -> None:
+def load_of(reply: Reply) -> tuple[int, int] | None:
+    """Calls running and waiting, as `X-Backend-Load` tells them."""
     parts = (reply.get(b"x-backend-load") or b"").split(b",")
     if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
-        yard.told(now, ident, int(parts[0]), int(parts[1]))
+        return int(parts[0]), int(parts[1])
+    return None
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -14,6 +14,7 @@
 
 from meadowworks.attempts.again import ANSWERED, come_back_ns
 from meadowworks.carriage.budget import Budget
+from meadowworks.carriage.choice import delays, reach
 from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt, back_headers, on_headers
@@ -22,7 +23,7 @@
 from meadowworks.points.figures import Sums
 from meadowworks.points.service import Met, Service
 from meadowworks.roster.beats import DRAINING, GONE
-from meadowworks.roster.lives import Lives
+from meadowworks.roster.lives import Backend, Lives
 from meadowworks.telegraph import post
 from meadowworks.telegraph.members import Card, Members
 from meadowworks.telegraph.news import News, Told
@@ -82,10 +83,13 @@
     def heard(self, zone: str, covers_ms: int, met: Any, asked: dict[str, int]) -> None:
         now, place = now_ns(), self.boot.zones.index(zone)
         by_service: dict[str, dict[str, Met]] = {}
-        for ident, tries, bad, spent in met:
+        for ident, tries, bad, spent, told, running, waiting in met:
             if known := self.lives.known.get(ident):
                 mean = int(spent * MS / max(1, tries - bad))
-                by_service.setdefault(known.svc, {})[ident] = Met(tries, bad, mean)
+                waits = waiting / told if told else -1.0
+                by_service.setdefault(known.svc, {})[ident] = Met(tries, bad, mean, waits)
+                if told and known.zone != self.boot.zone:
+                    self.yard.figures(now, ident, (running + waiting) / told)
         for name, service in self.services.items():
             service.heard(now, place, by_service.get(name, {}), asked.get(name, 0), max(1, covers_ms) * MS)
 
@@ -262,14 +266,14 @@
                 done, _ = await asyncio.wait(tasks, timeout=max(0.0, (until - now_ns()) / 1e9),
                                              return_when=asyncio.FIRST_COMPLETED)
                 now = now_ns()
-                lines, busy = self.seen(service, now)
+                lines, waits = self.seen(service, now)
                 if not done:
-                    step = journey.due(now, lines, busy, self.random.random(), again)
+                    step = journey.due(now, lines, waits, self.random.random(), again)
                     continue
                 for task in done:
                     number, tried = tasks.pop(task), task.result()
                     replies[number] = tried.reply
-                    step = journey.ended(now, number, tried.state, tried.status, lines, busy,
+                    step = journey.ended(now, number, tried.state, tried.status, lines, waits,
                                          self.random.random(), again)
                     if isinstance(step, Forward):
                         break
@@ -278,11 +282,16 @@
                 for task in tasks:
                     task.cancel()
 
-    async def attempt(self, backend: Any, request: Request, limit_ns: int) -> Tried:
+    async def attempt(self, backend: Backend, request: Request, limit_ns: int) -> Tried:
+        busy = self.yard.busy(now_ns(), backend.ident, backend.zone == self.boot.zone)
         tried = await attempt(self.yard, backend, request, limit_ns)
         good = tried.state == ANSWERED
         for sums in (self.sums, self.own):
             sums.tried(backend.ident, good, tried.spent_ns / MS)
+            if tried.load is not None:
+                sums.loaded(backend.ident, *tried.load)
+        if good:
+            self.yard.answered(backend.ident, tried.spent_ns, busy, backend.capacity)
         if tried.over:
             log.info("{} is over: another answers at its address", backend.ident)
             self.lives.ended(backend.ident)
@@ -290,21 +299,29 @@
         return tried
 
     def seen(self, service: Service, now: int) -> tuple[dict[int, float], dict[int, float]]:
-        """The service's table without what could not be reached just now, and how busy each is."""
+        """The lines that a request may take now, and how long each would take."""
         names = service.places.names
         kept: dict[int, float] = {}
-        lines: dict[int, float] = {}
+        own: dict[int, float] = {}
+        abroad: dict[int, float] = {}
         busy: dict[int, float] = {}
-        for place, weight in service.lines.items():
-            ident = names[place]
-            known = self.lives.known.get(ident)
-            if known is None or known.state in (DRAINING, GONE):
-                continue  # the table is a moment behind the list
-            kept[place] = weight
-            if not self.yard.avoided(now, ident):
-                lines[place] = weight
-                busy[place] = self.yard.busy(now, ident)
-        return lines or kept, busy
+        needs: dict[int, float] = {}
+        for lines, found in ((service.lines, own), (service.abroad, abroad)):
+            for place, weight in lines.items():
+                ident = names[place]
+                known = self.lives.known.get(ident)
+                if known is None or known.state in (DRAINING, GONE):
+                    continue  # the table is a moment behind the list
+                if found is own:
+                    kept[place] = weight
+                if self.yard.avoided(now, ident):
+                    continue
+                found[place] = weight
+                busy[place] = self.yard.busy(now, ident, known.zone == self.boot.zone)
+                if (need := self.yard.stall(ident).needs) is not None:
+                    needs[place] = need
+        lines = reach(own, abroad, busy) or kept
+        return lines, delays(own, lines, busy, needs)
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
--- a/meadowworks/points/figures.py
+++ b/meadowworks/points/figures.py
@@ -14,33 +14,41 @@
 
 @dataclass(slots=True)
 class Sums:
-    """By backend: tries, failures and milliseconds of the good ones, summed; calls asked by service."""
+    """By backend: tries, failures and milliseconds of the good ones, summed, then how often it told its load,
+    and the calls running and waiting there, summed; calls asked by service."""
 
     met: dict[str, list[float]] = field(default_factory=dict)
     asked: dict[str, int] = field(default_factory=dict)
 
     def tried(self, ident: str, good: bool, spent_ms: float) -> None:
-        one = self.met.setdefault(ident, [0, 0, 0.0])
+        one = self.met.setdefault(ident, [0] * 6)
         one[0] += 1
         one[1] += not good
         one[2] += spent_ms if good else 0.0
 
+    def loaded(self, ident: str, running: int, waiting: int) -> None:
+        one = self.met.setdefault(ident, [0] * 6)
+        one[3] += 1
+        one[4] += running
+        one[5] += waiting
+
     def came(self, service: str) -> None:
         self.asked[service] = self.asked.get(service, 0) + 1
 
     def add(self, raw: Any) -> None:
         """What a junction told. Raises ValueError or TypeError for what is malformed."""
         met, asked = raw
-        for ident, tries, bad, spent in met:
-            one = self.met.setdefault(str(ident), [0, 0, 0.0])
-            one[0] += int(tries)
-            one[1] += int(bad)
-            one[2] += float(spent)
+        for ident, *counts in met:
+            if len(counts) != 6 or not all(isinstance(c, int) for c in counts):
+                raise ValueError("no figures")
+            one = self.met.setdefault(str(ident), [0] * 6)
+            for place, count in enumerate(counts):
+                one[place] += count
         for service, calls in asked:
             self.asked[str(service)] = self.asked.get(str(service), 0) + int(calls)
 
     def pack(self) -> list[Any]:
-        return [[[i, int(t), int(b), round(s)] for i, (t, b, s) in self.met.items()],
+        return [[[ident, *map(round, counts)] for ident, counts in self.met.items()],
                 [[s, n] for s, n in self.asked.items()]]
 
     def __bool__(self) -> bool:
--- a/meadowworks/points/service.py
+++ b/meadowworks/points/service.py
@@ -30,6 +30,7 @@
     tries: int
     bad: int
     latency_ns: int
+    waiting: float = -1.0  # calls waiting there in the mean; under 0: not told
 
 
 def settings(zones: int, target_ns: int, cold_ns: int) -> Settings:
@@ -51,6 +52,7 @@
         self.mine = self.zones[mine]
         self.places = Names()
         self.lines: dict[int, float] = {}  # the table of the own zone
+        self.abroad: dict[int, float] = {}  # lines of the other zones' tables to their own backends
         self.level, self.retry = 1.0, 1
         self.marked: list[int] = []
         self.cold_ns = COLD_NS
@@ -86,11 +88,11 @@
 
     def set_line(self, table: int, backend: int, weight: float) -> None:
         if table != self.mine:
-            return
-        if weight > 0:
-            self.lines[backend] = weight
+            known = self.controller.backends.get(backend)
+            if known is None or known.zone == table:
+                put(self.abroad, backend, weight)
         else:
-            self.lines.pop(backend, None)
+            put(self.lines, backend, weight)
 
     def bind(self, routes: int, proxy: int, table: int) -> None:
         pass
@@ -142,7 +144,8 @@
         """The figures of one zone over a stretch of time."""
         for ident, m in met.items():
             if (place := self.places.places.get(ident)) is not None:
-                self.controller.heard(now, zone, place, m.tries, m.bad, m.latency_ns, covers_ns, {})
+                self.controller.heard(now, zone, place, m.tries, m.bad, m.latency_ns, covers_ns,
+                                      {} if m.waiting < 0 else {"queue": m.waiting})
         self.controller.asked(now, zone, 0, asked, 0, covers_ns)
         self.heard_ns[zone] = now
 
@@ -154,3 +157,10 @@
             self.wake_ns = max(self.wake_ns, now - REPORT_NS)
             self.controller.tick(now)
             self.applied(now)
+
+
+def put(lines: dict[int, float], backend: int, weight: float) -> None:
+    if weight > 0:
+        lines[backend] = weight
+    else:
+        lines.pop(backend, None)
