--- a/meadowworks/carriage/yard.py
+++ b/meadowworks/carriage/yard.py
@@ -17,6 +17,7 @@
 KEEP_MOST = 24  # idle lines a life
 AVOID_NS = SECOND  # that a backend which could not be reached is passed over
 TOLD_NS = 400_000_000  # for so long what a backend told of its load counts, ever less
+OTHERS = 0.6  # part of a home backend's calls that are taken to be of other junctions
 FAR_NS = 3 * SECOND  # for so long what the figures of its zone say of it does
 
 
@@ -98,14 +99,15 @@
         self.stall(ident).avoid_ns = now + AVOID_NS
 
     def busy(self, now: int, ident: str, home: bool) -> float:
-        """Calls that it is taken to be at work on: this junction's, and others' as it told, fading; of one
-        abroad, that is told of itself too seldom, what its zone's figures say."""
+        """Calls that it is taken to be at work on: this junction's, and others' as it told. As that grows
+        old, what the zones' figures say takes its place: guards against a backend that looks idle because
+        it is too busy to answer."""
         stall = self.stalls.get(ident)
         if stall is None:
             return 0.0
         fresh = max(0.0, 1 - (now - stall.told_ns) / TOLD_NS)
-        far = stall.far if not home and now - stall.far_ns < FAR_NS else 0.0
-        return stall.under_way + max(stall.others * fresh, far * (1 - fresh))
+        far = stall.far if now - stall.far_ns < FAR_NS else stall.others
+        return stall.under_way + stall.others * fresh + far * (OTHERS if home else 1.0) * (1 - fresh)
 
     def avoided(self, now: int, ident: str) -> bool:
         stall = self.stalls.get(ident)
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -88,7 +88,7 @@
                 mean = int(spent * MS / max(1, tries - bad))
                 waits = waiting / told if told else -1.0
                 by_service.setdefault(known.svc, {})[ident] = Met(tries, bad, mean, waits)
-                if told and known.zone != self.boot.zone:
+                if told:
                     self.yard.figures(now, ident, (running + waiting) / told)
         for name, service in self.services.items():
             service.heard(now, place, by_service.get(name, {}), asked.get(name, 0), max(1, covers_ms) * MS)
