--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -156,7 +156,7 @@
             try:
                 news = post.read_news(await self.peer(*at).call(b"/pull", pull.pack(), PULL_S))
                 table = load_table(news.table[1]) if news.table else None
-            except (NoAnswer, post.Garbled, ValueError, KeyError) as trouble:
+            except (NoAnswer, *post.SHAPE) as trouble:
                 log.info("no news from {}: {}", at[0], trouble)
                 self.sums.add(sums.pack())
                 self.upstream.failed(now_ns(), at[0])
--- a/meadowworks/signalbox/office.py
+++ b/meadowworks/signalbox/office.py
@@ -120,7 +120,7 @@
                 for task in done:
                     try:
                         yield task.result()
-                    except (NoAnswer, ValueError, TypeError, IndexError) as trouble:
+                    except (NoAnswer, *post.SHAPE) as trouble:
                         log.debug("a letter without reply: {}", trouble)
         finally:
             for task in tasks:  # the rest of the letters still go their way
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -100,7 +100,7 @@
                     return await answer(send, 200, post.pack(register.pack(reply)), [])
                 case "/status":
                     return await answer(send, 200, json.dumps(self.status()).encode())
-        except (post.Garbled, ValueError, TypeError, IndexError) as trouble:
+        except post.SHAPE as trouble:
             log.warning("a call without sense: {}", trouble)
             return await answer(send, 400)
         except sqlite3.Error as trouble:
--- a/meadowworks/telegraph/news.py
+++ b/meadowworks/telegraph/news.py
@@ -133,8 +133,8 @@
             return
         if piece.whole:
             left = set(source.entries) - {key for _, key, _ in piece.changes}
-            # Versions that the snapshot leaves out were replaced or forgotten: who lacks them gets one too.
-            source.floor = max(source.floor, min((v for v, *_ in piece.changes), default=piece.top + 1) - 1)
+            # What was taken back before it is not told in it: who is further behind gets a snapshot too.
+            source.floor = piece.top
             for key in left:
                 version, value = source.entries.pop(key)
                 source.order.pop(version, None)
--- a/meadowworks/telegraph/post.py
+++ b/meadowworks/telegraph/post.py
@@ -15,6 +15,8 @@
 from meadowworks.telegraph.members import Card
 from meadowworks.telegraph.news import Piece
 
+SHAPE = (TypeError, ValueError, AttributeError, LookupError)  # what reading a message of another shape raises
+
 
 class Garbled(ValueError):
     """A body that is no message between controllers."""
@@ -72,7 +74,7 @@
         me, cards, vector, table, wait, figures = unpack(body)
         return Pull(Card.unpack(me), tuple(map(Card.unpack, cards)),
                     {str(k): int(v) for k, v in vector.items()}, int(table), int(wait), figures)
-    except (TypeError, ValueError, AttributeError) as trouble:
+    except SHAPE as trouble:
         raise Garbled(f"no pull: {trouble}") from None
 
 
@@ -83,5 +85,5 @@
         held = None if table is None else (int(table[0]), zlib.decompress(table[1]))
         return News(Card.unpack(me), tuple(map(Card.unpack, cards)), tuple(map(Piece.unpack, pieces)),
                     bool(sure), held)
-    except (TypeError, ValueError, AttributeError, zlib.error) as trouble:
+    except (*SHAPE, zlib.error) as trouble:
         raise Garbled(f"no news: {trouble}") from None
--- a/meadowworks/track/door.py
+++ b/meadowworks/track/door.py
@@ -67,9 +67,8 @@
         self.slow = self.loop.call_later(self.state.limits.header_s, self.too_slow)
 
     def data_received(self, data: bytes) -> None:
-        if self.reading:
-            self.counted += len(data)
         super().data_received(data)
+        self.counted += len(data)
         if self.reading and self.counted > self.state.limits.header_bytes and not self.transport.is_closing():
             self.turn_away(431, "headers too large")
 
--- /dev/null
+++ b/tests/gateway/test_state.py
@@ -0,0 +1,305 @@
+"""What controllers hold and tell each other: one message at a time is mutated, and nothing false comes of it."""
+
+from __future__ import annotations
+
+import copy
+import json
+import shutil
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from meadowworks.commands import main
+from meadowworks.depot.disk import Disk
+from meadowworks.junction.upstream import Upstream
+from meadowworks.local.system import Plan, Ports, configuration
+from meadowworks.points.service import Met, Service
+from meadowworks.roster.beats import Bad, Beats, Taken
+from meadowworks.roster.lives import Backend, Lives
+from meadowworks.telegraph import post
+from meadowworks.telegraph.members import STALE_NS, Card, Members
+from meadowworks.telegraph.news import FORGET_NS, TOMBS, News, Piece, Told
+from meadowworks.timetable import register
+from meadowworks.timetable.check import Invalid, Valid, check
+from meadowworks.timetable.register import Accept, Accepted, Ballot, Box, Held, Past, Prepare, Promised
+from meadowworks.timetable.routes import load
+from meadowworks.track import boot
+from meadowworks.track.errors import BadSettings
+from tests.gateway.helpers import SECOND
+
+ODD = (None, "", "x", -1, 0, 1.5, True, [], {}, "ff" * 9)
+
+
+def mutants(whole: Any, at: tuple[Any, ...] = ()) -> Iterator[tuple[tuple[Any, ...], Any]]:
+    """Every message that differs in one place: left out, or of another kind."""
+    rows = list(whole.items()) if isinstance(whole, dict) else list(enumerate(whole))
+    for key, value in rows:
+        for odd in ODD:
+            if type(odd) is not type(value):
+                changed = copy.deepcopy(whole)
+                changed[key] = odd
+                yield (*at, key, odd), changed
+        if isinstance(whole, dict):
+            left = copy.deepcopy(whole)
+            del left[key]
+            yield (*at, key), left
+        if isinstance(value, dict | list):
+            for where, inner in mutants(value, (*at, key)):
+                changed = copy.deepcopy(whole)
+                changed[key] = inner
+                yield where, changed
+
+
+BEAT = {"addr": "10.0.0.9:8080", "details": {"svc": "s", "ver": "v1", "zone": "north", "capacity": 2},
+        "status": {"state": "up", "calls": 4, "warmupMs": 0}}
+
+
+def test_a_mutated_heartbeat_is_refused_or_says_the_same_life_and_never_breaks() -> None:
+    seen = 0
+    for _, mutant in mutants(BEAT):
+        said: list[Any] = []
+        beats = Beats(lambda key, value, said=said: said.append(value) or len(said), 1000)  # type: ignore[misc]
+        found = beats.beat(0, "i", mutant)
+        seen += isinstance(found, Bad)
+        assert isinstance(found, Bad) == (not said)
+        lives = Lives(lambda name: 0, lambda: 0)
+        for value in said:
+            lives.told(Told("box", "b/i", value))
+            assert lives.known["i"].state == "up" and lives.known["i"].port == 8080
+    assert seen > 30
+
+
+def test_a_life_never_goes_back_whoever_says_so_and_in_whatever_order() -> None:
+    up, drain = ["s", "h:1", "z", 2.0, "up", 5, 0, 0], ["s", "h:1", "z", 2.0, "draining", 6, 0, 0]
+    gone, quiet = ["", "", "", 0.0, "gone", 0, 0, 0], ["s", "h:1", "z", 2.0, "up", 5, 0, 1]
+    for first, second, state in ((up, drain, "draining"), (drain, up, "draining"), (up, gone, "gone"),
+                                 (gone, up, "gone"), (quiet, up, "up"), (up, quiet, "up")):
+        lives = Lives(lambda name: 0, lambda: 0)
+        lives.told(Told("one", "b/i", up))
+        lives.told(Told("one", "b/i", first))
+        lives.told(Told("two", "b/i", second))
+        assert lives.known["i"].state == state, (first, second)
+    beats, said = Beats(lambda key, value: 7, 1000), Taken(7)
+    assert beats.beat(0, "i", BEAT) == Taken(0)
+    drained = {**BEAT, "status": {"state": "draining", "calls": 5}}
+    assert beats.beat(1, "i", drained) == said
+    assert beats.beat(2, "i", BEAT) == said and beats.lives["i"].state == "draining"  # a late one
+    assert beats.leave(3, "i") == said and beats.beat(4, "i", drained) == said
+    assert beats.lives["i"].state == "gone"
+
+
+def test_silence_is_told_and_a_source_that_is_gone_vouches_for_nobody() -> None:
+    said: list[Any] = []
+    beats = Beats(lambda key, value: said.append(value) or 1, 1000)  # type: ignore[func-returns-value]
+    beats.beat(0, "i", BEAT)
+    beats.tick(3 * SECOND)
+    assert len(said) == 1
+    beats.tick(5 * SECOND)
+    assert said[-1][-1] == 1
+    beats.beat(6 * SECOND, "i", {**BEAT, "status": {"state": "up", "calls": 9}})
+    assert said[-1][-1] == 0
+    silent = {"one": 0, "two": 0}
+    lives = Lives(lambda name: silent[name], lambda: 0)
+    lives.told(Told("one", "b/i", said[0]))
+    lives.told(Told("two", "b/j", said[0]))
+    silent["one"] = 9 * SECOND
+    lives.tick()
+    assert (lives.known["i"].state, lives.known["j"].state) == ("quiet", "up")
+    silent["two"] = 9 * SECOND  # nobody at all is heard: that says nothing of the backends
+    lives.tick()
+    assert lives.known["i"].state == "up"
+
+
+def news(vector_of: News, holder: News, now: int = 0) -> list[Piece]:
+    pieces = holder.lacks(vector_of.vector(), vector_of.me)
+    for piece in pieces:
+        vector_of.take(now, piece)
+    return pieces
+
+
+def test_news_come_as_a_snapshot_then_as_changes_and_an_old_piece_changes_nothing() -> None:
+    source, middle, reader = News("s"), News("m"), News("r")
+    told: list[Told] = []
+    reader.listeners.append(told.append)
+    for k in range(5):
+        source.say(f"b/{k}", k)
+    news(middle, source)
+    [whole] = [p for p in news(reader, middle) if p.source == "s"]
+    assert whole.whole and len(whole.changes) == 5
+    source.say("b/0", "new")
+    news(middle, source)
+    [change] = [p for p in news(reader, middle) if p.source == "s"]
+    assert not change.whole and len(change.changes) == 1
+    told.clear()
+    reader.take(0, whole)  # comes late
+    assert not told and reader.sources["s"].entries["b/0"][1] == "new"
+    for k in range(TOMBS + 9):
+        source.say(f"t{k}", None)
+    news(middle, source)
+    assert [p.whole for p in news(reader, middle) if p.source == "s"] == [True]  # it fell behind
+    assert reader.sources["s"].top == source.sources["s"].top and not news(reader, middle)
+    source.asked("peer", reader.own_vector())
+    assert source.holders(source.sources["s"].top) == {"peer"} and not source.holders(10**6)
+    assert reader.expire(FORGET_NS + 1) == ["s", "m"] or set(reader.sources) == {"r"}
+
+
+def test_a_mutated_message_between_controllers_is_garbled_or_harmless() -> None:
+    me = Card("a", "10.0.0.1", 7000, "north", True, "a.1", 5)
+    pull = post.Pull(me, (me,), {"s": 3}, 1, 100, [[["i", 1, 0, 5, 1, 1, 0]], [["s", 1]]])
+    answer = post.News(me, (me,), (Piece("s", True, 3, ((3, "k", 1),)),), True, (2, b"{}"))
+    garbled = 0
+    for whole, read in ((pull, post.read_pull), (answer, post.read_news)):
+        raw = post.unpack(whole.pack())  # type: ignore[attr-defined]
+        assert read(whole.pack()) == whole  # type: ignore[attr-defined, operator]
+        for _, mutant in mutants(raw):
+            try:
+                read(post.pack(mutant))  # type: ignore[operator]
+            except post.Garbled:
+                garbled += 1
+        with pytest.raises(post.Garbled):
+            read(whole.pack()[:-1])  # type: ignore[attr-defined, operator]
+    assert garbled > 60
+
+
+def test_members_shuffle_until_all_voters_are_known_and_who_is_gone_is_forgotten() -> None:
+    cards = [Card(f"n{k}", f"10.0.0.{k}", 7000, "z", k < 5, f"l{k}", 1) for k in range(7)]
+    nodes = [Members(card, k) for k, card in enumerate(cards)]
+    for turn in range(4):
+        for k, node in enumerate(nodes):  # each speaks to the one before it alone
+            other = nodes[(k + 1) % len(nodes)]
+            node.met(turn, other.swap())
+            other.met(turn, node.swap())
+    assert all(len(node.voters()) == 5 - (k < 5) for k, node in enumerate(nodes))
+    nodes[6].met(9, [Card("n0", "10.0.0.0", 7000, "z", True, "l0", 0)])
+    assert nodes[6].view["10.0.0.0"].card.beat == 1  # an old card replaces no newer one
+    nodes[6].expire(STALE_NS + 10)
+    assert not nodes[6].view and nodes[6].lonely([("10.0.0.1", 9)], 7000) == [("10.0.0.1", 7000)]
+    upstream = Upstream("z")
+    far = Card("f", "10.0.9.9", 7000, "y", True, "f", 1)
+    assert upstream.choose(0, [far, cards[0]], []) == ("10.0.0.0", 7000)
+    upstream.failed(0, "10.0.0.0")
+    assert upstream.choose(1, [far, cards[0]], []) == ("10.0.9.9", 7000)
+
+
+CONFIG = json.loads(configuration(7, {"/a/": ("safe", "s"), "/a/b/": ("unsafe", "t")}))
+
+
+def test_a_mutated_configuration_is_refused_or_loads_whole() -> None:
+    refused = 0
+    for where, mutant in mutants(CONFIG):
+        body = json.dumps(mutant).encode()
+        found = check(body)
+        refused += isinstance(found, Invalid)
+        if isinstance(found, Valid):
+            load(body)
+        if where in (("ver",), ("svcs",), ("limits",), ("vhosts",)):
+            assert isinstance(found, Invalid)
+    assert refused > 60
+
+
+@pytest.mark.parametrize("field, value", [
+    ("deadlineMs", 0), ("targetMs", 62_001), ("prefix", "a/"), ("svc", "nobody"), ("type", "odd"),
+    ("name", "r1"), ("prefix", "/a/b/"), ("split", [{"svc": "s", "weight": 0}]),
+])
+def test_what_the_operators_page_calls_invalid_is(field: str, value: Any) -> None:
+    wrong = copy.deepcopy(CONFIG)
+    if field == "split":
+        del wrong["vhosts"][0]["prefixes"][0]["svc"]
+    wrong["vhosts"][0]["prefixes"][0][field] = value
+    assert isinstance(check(json.dumps(wrong).encode()), Invalid)
+    assert check(json.dumps(CONFIG).encode()) == Valid(7)
+    assert isinstance(check(json.dumps(CONFIG).encode()[:-9]), Invalid)  # cut short
+
+
+def test_the_longest_prefix_of_the_host_is_the_route() -> None:
+    table = load(json.dumps(CONFIG).encode())
+    for path, name in (("/a/x", "r0"), ("/a/b/x", "r1"), ("/a/b", "r0"), ("/a/bb/", "r0"), ("/b/", None), ("/a", None)):
+        route = table.find("LOCAL.example:80", path)
+        assert (route.name if route else None) == name
+    assert table.find("other.example", "/a/x") is None
+
+
+def test_a_disk_holds_what_it_has_saved_through_a_loss_of_power(tmp_path: Path) -> None:
+    disk, box = Disk(tmp_path / "d"), Box(sound=True, dirty=True)
+    name, none = disk.load()
+    assert none is None
+    box.answer(Prepare(1, 3, Ballot(4, "p")))
+    box.answer(Accept(1, 3, Ballot(4, "p"), b"three"))
+    disk.save(name, box, box.changed, True)
+    shutil.copytree(tmp_path / "d", tmp_path / "after")  # as the power goes: what is on the disk, unclosed
+    box.learn(3, b"three")
+    disk.save(name, box, box.changed, True)
+    shutil.copytree(tmp_path / "d", tmp_path / "later")
+    again, found = Disk(tmp_path / "after").load()
+    assert again == name and found is not None
+    assert found.answer(Prepare(1, 3, Ballot(3, "q"))) == register.Refused(1, Ballot(4, "p"))
+    assert found.answer(Prepare(1, 3, Ballot(5, "q"))) == Promised(Ballot(5, "q"), Ballot(4, "p"), b"three")
+    _, later = Disk(tmp_path / "later").load()
+    assert later is not None and later.held == Held(3, b"three") and not later.slots
+    assert isinstance(later.answer(Prepare(1, 2, Ballot(9, "q"))), Past)
+
+
+@pytest.mark.parametrize("message", [
+    Prepare(1, 2, Ballot(3, "p")), Accept(1, 2, Ballot(3, "p"), b"c"), register.Enter(2), Accepted(Ballot(1, "p")),
+    Promised(Ballot(1, "p"), Ballot(0, ""), b""), register.Refused(2, Ballot(1, "p")), Past(Held(4, b"d")),
+    register.Unsound(), register.Whole(2, Held(1, b"x"), ((3, Ballot(1, "p"), Ballot(0, ""), b""),)),
+])
+def test_letters_travel_unchanged(message: Any) -> None:
+    raw = post.unpack(post.pack(register.pack(message)))
+    assert register.unpack(raw) == message
+    for _, mutant in mutants(raw):
+        try:
+            register.unpack(mutant)
+        except (ValueError, TypeError, KeyError, IndexError, AttributeError):
+            pass
+
+
+def test_a_services_table_is_of_its_zone_by_capacity_and_what_drains_leaves_at_once() -> None:
+    service = Service("s", ["north", "south"], "north", SECOND // 2, 1, 0)
+
+    def lives(*states: str) -> list[Backend]:
+        zones = ("north", "north", "south")
+        return [Backend(f"b{k}", "s", "h", k, zones[k], 2.0 + k, state, 0, 0) for k, state in enumerate(states)]
+
+    service.listed(1, lives("up", "up", "up"))
+    named = {service.places.names[p]: w for p, w in service.lines.items()}
+    assert named == {"b0": 2.0, "b1": 3.0} and {service.places.names[p] for p in service.abroad} == {"b2"}
+    service.listed(2, lives("draining", "up", "up"))
+    assert {service.places.names[p] for p in service.lines} == {"b1"}
+    service.listed(3, lives("draining", "draining", "up"))
+    assert {service.places.names[p] for p in service.lines} == {"b2"}  # the zone has none: all of them
+    for k in range(1, 40):  # demand that fits leaves the level open
+        now = k * SECOND
+        service.heard(now, 0, {"b2": Met(20, 0, 20_000_000, 0.0)}, 20, SECOND)
+        service.tick(now)
+        service.tick(now + SECOND // 2)
+    assert service.level == 1.0 and not service.late(40 * SECOND, 0) and service.late(50 * SECOND, 0)
+
+
+SETTINGS = json.loads(json.dumps(Plan(9, Ports(1, 2, 3, 4)).settings(0, Path("/d"))))
+
+
+def test_mutated_settings_are_one_plain_line_or_make_sense(tmp_path: Path, capsys: pytest.CaptureFixture[str],
+                                                           ) -> None:
+    bad = 0
+    for _, mutant in mutants(SETTINGS):
+        try:
+            boot.read(json.dumps(mutant))
+        except BadSettings as trouble:
+            bad += 1
+            assert "\n" not in str(trouble) and len(str(trouble)) < 300
+    assert bad > 60
+    assert boot.read(json.dumps({**SETTINGS, "unknown": 1})).node == "signalbox-0"
+    with pytest.raises(BadSettings, match="MEADOWWORKS_NODE_FILE is not set"):
+        boot.load({})
+    with pytest.raises(BadSettings, match="cannot be read"):
+        boot.load({"MEADOWWORKS_NODE_FILE": str(tmp_path / "none")})
+    file = tmp_path / "f.json"
+    for text, words, status in ((json.dumps(SETTINGS), ["settings"], 0), ("{", ["settings"], 2),
+                                (json.dumps(CONFIG), ["config", "check"], 0), ("{", ["config", "check"], 2)):
+        file.write_text(text)
+        assert main([*words, str(file)]) == status
+    assert main(["config", "read"]) == main(["status", "nowhere"]) == main(["local", "--port", "9"]) == 2
+    assert all(line.startswith(("meadowworks: ", str(file))) for line in capsys.readouterr().err.splitlines())
