--- a/meadowworks/depot/disk.py
+++ b/meadowworks/depot/disk.py
@@ -12,6 +12,7 @@
 CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value);
 CREATE TABLE IF NOT EXISTS slots (version INTEGER PRIMARY KEY, promised_n INTEGER, promised_by TEXT,
                                   accepted_n INTEGER, accepted_by TEXT, content BLOB);
+CREATE TABLE IF NOT EXISTS lives (ident TEXT PRIMARY KEY, value BLOB);
 """
 
 
@@ -57,5 +58,16 @@
                 self.db.execute("ROLLBACK")
             raise
 
+    def keep_lives(self, rows: dict[str, bytes]) -> None:
+        """Backends as last heard of, for a start after all controllers were lost at once: a hint, which the
+        next beats confirm or not."""
+        with self.db:
+            self.db.execute("BEGIN")
+            self.db.execute("DELETE FROM lives")
+            self.db.executemany("INSERT INTO lives VALUES (?, ?)", rows.items())
+
+    def lives(self) -> dict[str, bytes]:
+        return dict(self.db.execute("SELECT ident, value FROM lives").fetchall())
+
     def close(self) -> None:
         self.db.close()
--- a/meadowworks/junction/__main__.py
+++ b/meadowworks/junction/__main__.py
@@ -1,3 +1,7 @@
-from meadowworks.junction.program import main
+import gc
+
+gc.disable()  # until the start is over: it makes much and drops little
+
+from meadowworks.junction.program import main  # noqa: E402
 
 raise SystemExit(main())
--- a/meadowworks/roster/beats.py
+++ b/meadowworks/roster/beats.py
@@ -124,6 +124,17 @@
             life.said = self.say(PREFIX + ident, life.value())
         return Taken(life.said)
 
+    def kept(self) -> dict[str, list[Any]]:
+        """Lives that are not over, for the disk."""
+        return {ident: life.value() for ident, life in self.lives.items() if life.state != GONE and not life.quiet}
+
+    def restore(self, now: int, kept: dict[str, list[Any]]) -> None:
+        """What was kept before a start is said again, as if it had been heard just now: backends beat on, and
+        one that does not falls silent as ever."""
+        for ident, (svc, addr, zone, capacity, state, calls, _, _) in kept.items():
+            life = self.lives[ident] = Life(svc, addr, zone, capacity, state, calls, 0.0, now)
+            life.said = self.say(PREFIX + ident, life.value())
+
     def tick(self, now: int) -> None:
         for ident, life in list(self.lives.items()):
             silent = now - life.heard_ns
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -60,6 +60,8 @@
         folder = boot.datadir or tempfile.mkdtemp(prefix="meadowworks-")
         self.office = Office(Disk(folder), boot.bootstrap or not boot.voting, boot.tolerate, self.members,
                              self.peer, self.learnt)
+        self.kept = self.office.disk.lives()
+        self.beats.restore(now_ns(), {ident: post.unpack(value) for ident, value in self.kept.items()})
         self.backends = Backends(self.beats, self.news, self.members, boot.tolerate)
         self.routes = routes(self.backends, Config(self.office))
         self.tasks = Tasks()
@@ -184,7 +186,14 @@
 
     # -- from time to time
 
-    def second(self) -> None:
+    async def second(self) -> None:
+        self.turn()
+        kept = {ident: post.pack(value) for ident, value in self.beats.kept().items()}
+        if kept.keys() != self.kept.keys():
+            await asyncio.get_running_loop().run_in_executor(self.office.thread, self.office.disk.keep_lives, kept)
+            self.kept = kept
+
+    def turn(self) -> None:
         now = now_ns()
         self.members.pulse()
         self.members.expire(now)
--- a/meadowworks/track/line.py
+++ b/meadowworks/track/line.py
@@ -8,15 +8,18 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import h11
-import httpcore
-from httpcore import AsyncHTTP11Connection, Origin, Request
 
-from meadowworks.track.errors import NoAnswer
+sys.modules.setdefault("trio", None)  # type: ignore[arg-type]  # httpcore imports it where it finds it: half of a start
+import httpcore  # noqa: E402
+from httpcore import AsyncHTTP11Connection, Origin, Request  # noqa: E402
+
+from meadowworks.track.errors import NoAnswer  # noqa: E402
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/meadowworks/track/program.py
+++ b/meadowworks/track/program.py
@@ -78,8 +78,8 @@
 
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, end)
-        gc.collect()
         gc.freeze()  # what the start has made stays: the collector need not look at it again
+        gc.enable()
         await serve(boot, told)
 
     try:
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -303,3 +303,22 @@
         assert main([*words, str(file)]) == status
     assert main(["config", "read"]) == main(["status", "nowhere"]) == main(["local", "--port", "9"]) == 2
     assert all(line.startswith(("meadowworks: ", str(file))) for line in capsys.readouterr().err.splitlines())
+
+
+def test_backends_known_before_all_controllers_were_lost_are_known_after(tmp_path: Path) -> None:
+    said: dict[str, Any] = {}
+    beats = Beats(lambda key, value: said.update({key: value}) or 1, 1000)  # type: ignore[func-returns-value]
+    beats.beat(0, "i", BEAT)
+    beats.beat(0, "j", BEAT)
+    beats.leave(1, "j")
+    disk = Disk(tmp_path / "d")
+    disk.keep_lives({ident: post.pack(value) for ident, value in beats.kept().items()})
+    shutil.copytree(tmp_path / "d", tmp_path / "after")
+    rows = {ident: post.unpack(value) for ident, value in Disk(tmp_path / "after").lives().items()}
+    assert set(rows) == {"i"}
+    said.clear()
+    later = Beats(lambda key, value: said.update({key: value}) or 1, 1000)  # type: ignore[func-returns-value]
+    later.restore(100 * SECOND, rows)
+    assert said["b/i"][:5] == ["s", "10.0.0.9:8080", "north", 2.0, "up"]
+    later.tick(105 * SECOND)  # it has not beaten since
+    assert said["b/i"][-1] == 1
