--- a/meadowworks/carriage/choice.py
+++ b/meadowworks/carriage/choice.py
@@ -10,24 +10,27 @@
 from collections.abc import Mapping
 
 FAR = 1.4  # times the delay that one abroad must undercut: what is known of it is older, and bytes cost
+# Part of the target that an expected delay may take: calls of one route differ severalfold in their work.
+HOPE = 0.5
 LEARN = 0.1  # part that a new answer has in what a backend is taken to need for a call
 
 
-def reach(own: Mapping[int, float], abroad: Mapping[int, float], busy: Mapping[int, float]) -> dict[int, float]:
-    """The own table; with it the other zones' lines, if no slot is free at home. A line's weight is its
-    slots, less while it is cold: a cold one is never taken to be free."""
-    if any(busy.get(place, 0.0) + 1 <= weight for place, weight in own.items()):
-        return dict(own)
-    return {**abroad, **own}
-
-
-def delays(own: Mapping[int, float], lines: Mapping[int, float], busy: Mapping[int, float],
-           needs: Mapping[int, float]) -> dict[int, float]:
-    """How long a call would take at each of the lines: what it needs alone, more if calls wait there already;
-    more again for one that is not of the own table."""
+def delays(lines: Mapping[int, float], busy: Mapping[int, float], needs: Mapping[int, float]) -> dict[int, float]:
+    """How long a call would take at each of the lines: what it needs alone, more if calls wait there already.
+    A line's weight is its slots, less while it is cold: a cold one is never taken to be free."""
     usual = sorted(needs.values())[len(needs) // 2] if needs else 1.0
     return {place: needs.get(place, usual) * max(1.0, (busy.get(place, 0.0) + 1) / max(weight, 1e-3))
-            * (1.0 if place in own else FAR) for place, weight in lines.items()}
+            for place, weight in lines.items()}
+
+
+def reach(own: Mapping[int, float], abroad: Mapping[int, float], busy: Mapping[int, float],
+          needs: Mapping[int, float], target: float) -> tuple[dict[int, float], dict[int, float]]:
+    """The lines that a request may take and the delay of each: those of its own zone, and the other zones'
+    too if none at home is likely to answer within the route's target."""
+    waits = delays({**own, **abroad}, busy, needs)
+    if own and min(waits[place] for place in own) <= HOPE * target:
+        return dict(own), {place: waits[place] for place in own}
+    return {**abroad, **own}, {place: wait * (1.0 if place in own else FAR) for place, wait in waits.items()}
 
 
 def learn(old: float | None, spent: float, busy: float, weight: float) -> float:
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -14,7 +14,7 @@
 
 from meadowworks.attempts.again import ANSWERED, come_back_ns
 from meadowworks.carriage.budget import Budget
-from meadowworks.carriage.choice import delays, reach
+from meadowworks.carriage.choice import reach
 from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt, back_headers, on_headers
@@ -244,13 +244,13 @@
         if service.level < 1 and self.random.random() >= service.level:
             self.count("let in no more")
             return Refuse(503, come_back_ns(PACE_NS, service.level, self.random.random()))
-        jammed = service.retry == 0
-        journey = Journey(way(route.safe, limit_ns - now, int(route.target_ms * MS)),
+        jammed, target_ns = service.retry == 0, route.target_ms * MS
+        journey = Journey(way(route.safe, limit_ns - now, int(target_ns)),
                           policy(route.safe, route.tries, jammed), limit_ns)
         again = lambda: budget.take(now_ns())  # noqa: E731
         tasks: dict[asyncio.Task[Tried], int] = {}
         replies: dict[int, Reply | None] = {}
-        step: Step = journey.start(now, *self.seen(service, now), self.random.random())
+        step: Step = journey.start(now, *self.seen(service, target_ns, now), self.random.random())
         try:
             while True:
                 if isinstance(step, Forward):
@@ -266,7 +266,7 @@
                 done, _ = await asyncio.wait(tasks, timeout=max(0.0, (until - now_ns()) / 1e9),
                                              return_when=asyncio.FIRST_COMPLETED)
                 now = now_ns()
-                lines, waits = self.seen(service, now)
+                lines, waits = self.seen(service, target_ns, now)
                 if not done:
                     step = journey.due(now, lines, waits, self.random.random(), again)
                     continue
@@ -298,7 +298,7 @@
             self.relist()
         return tried
 
-    def seen(self, service: Service, now: int) -> tuple[dict[int, float], dict[int, float]]:
+    def seen(self, service: Service, target_ns: float, now: int) -> tuple[dict[int, float], dict[int, float]]:
         """The lines that a request may take now, and how long each would take."""
         names = service.places.names
         kept: dict[int, float] = {}
@@ -306,22 +306,24 @@
         abroad: dict[int, float] = {}
         busy: dict[int, float] = {}
         needs: dict[int, float] = {}
-        for lines, found in ((service.lines, own), (service.abroad, abroad)):
+        for lines in (service.abroad, service.lines):
             for place, weight in lines.items():
                 ident = names[place]
                 known = self.lives.known.get(ident)
                 if known is None or known.state in (DRAINING, GONE):
                     continue  # the table is a moment behind the list
-                if found is own:
+                home = known.zone == self.boot.zone
+                if lines is service.lines:
                     kept[place] = weight
                 if self.yard.avoided(now, ident):
                     continue
-                found[place] = weight
-                busy[place] = self.yard.busy(now, ident, known.zone == self.boot.zone)
+                found = own if home else abroad
+                found[place] = max(weight, found.get(place, 0.0))
+                busy[place] = self.yard.busy(now, ident, home)
                 if (need := self.yard.stall(ident).needs) is not None:
                     needs[place] = need
-        lines = reach(own, abroad, busy) or kept
-        return lines, delays(own, lines, busy, needs)
+        lines, waits = reach(own, abroad, busy, needs, target_ns)
+        return (lines, waits) if lines else (kept, {})
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
