Fewer bytes between zones: beats at home, reading back without contents, a longer wait at home

Change: beatUrl names the signalbox of the backend's zone; Look and Seen instead of whole contents, letters compressed; home is left beyond 0.6 of the target with no slot free.

--- a/meadowworks/carriage/choice.py
+++ b/meadowworks/carriage/choice.py
@@ -11,7 +11,7 @@
 
 FAR = 1.4  # times the delay that one abroad must undercut: what is known of it is older, and bytes cost
 # Part of the target that an expected delay may take: calls of one route differ severalfold in their work.
-HOPE = 0.5
+HOPE = 0.6
 LEARN = 0.1  # part that a new answer has in what a backend is taken to need for a call
 
 
@@ -26,9 +26,10 @@
 def reach(own: Mapping[int, float], abroad: Mapping[int, float], busy: Mapping[int, float],
           needs: Mapping[int, float], target: float) -> tuple[dict[int, float], dict[int, float]]:
     """The lines that a request may take and the delay of each: those of its own zone, and the other zones'
-    too if none at home is likely to answer within the route's target."""
+    too if no slot is free at home and none there is likely to answer within the route's target."""
     waits = delays({**own, **abroad}, busy, needs)
-    if own and min(waits[place] for place in own) <= HOPE * target:
+    free = any(busy.get(place, 0.0) + 1 <= weight for place, weight in own.items())
+    if free or own and min(waits[place] for place in own) <= HOPE * target:
         return dict(own), {place: waits[place] for place in own}
     return {**abroad, **own}, {place: wait * (1.0 if place in own else FAR) for place, wait in waits.items()}
 
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -40,6 +40,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 PULL_MS, PULL_S = 1000, 1.6
 POLLS_S = 2.3  # that connections may still come for after readyz says no: two polls a second apart
+SUMMARY_S = 10.0  # between the log's lines of counters
 SETTLE_NS = 3 * SECOND  # that a first list is waited for until every service has a backend
 log = logs.part("junction")
 
@@ -191,6 +192,9 @@
             self.heard(self.boot.zone, 1000, own.pack()[0], own.asked)
         self.yard.sweep(now, set(self.lives.known))
 
+    def summary(self) -> None:
+        log.info("answers {}, {} at work", self.counts, self.door.at_work())
+
     def half(self) -> None:
         now = now_ns()
         for service in self.services.values():
@@ -284,6 +288,8 @@
 
     async def attempt(self, backend: Backend, request: Request, limit_ns: int) -> Tried:
         busy = self.yard.busy(now_ns(), backend.ident, backend.zone == self.boot.zone)
+        if backend.zone != self.boot.zone:
+            self.count("tries abroad")
         tried = await attempt(self.yard, backend, request, limit_ns)
         good = tried.state == ANSWERED
         for sums in (self.sums, self.own):
@@ -372,6 +378,7 @@
         self.tasks.start(self.pull())
         self.tasks.start(self.tasks.every(1.0, self.second))
         self.tasks.start(self.tasks.every(0.1, self.half))
+        self.tasks.start(self.tasks.every(SUMMARY_S, self.summary))
         await asyncio.wait([told, self.tasks.broken], return_when=asyncio.FIRST_COMPLETED)
         if self.tasks.broken.done():
             self.tasks.broken.result()
--- a/meadowworks/signalbox/office.py
+++ b/meadowworks/signalbox/office.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import AsyncIterator, Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import TypeVar
@@ -27,7 +28,7 @@
     Overtaken,
     Proposal,
     Reply,
-    Unsound,
+    Seen,
     Whole,
 )
 from meadowworks.track import logs
@@ -101,12 +102,12 @@
 
     async def send(self, letter: Letter, own: bool) -> AsyncIterator[tuple[str, Reply]]:
         """Replies as they come, from the own box too if `own`."""
-        body = post.pack(register.pack(letter))
+        body = write_letter(letter)  # mostly a configuration's text
         cards = self.members.voters()
 
         async def to(host: str, port: int) -> tuple[str, Reply]:
             raw = await self.peers(host, port).call(b"/letter", body, LETTER_S)
-            return host, register.unpack(post.unpack(raw))  # type: ignore[return-value]
+            return host, read_letter(raw)  # type: ignore[return-value]
 
         async def to_own() -> tuple[str, Reply]:
             return self.members.me.host, await self.answer(letter)
@@ -160,22 +161,28 @@
         """The highest version that may have been acknowledged: a majority is asked, and what is undecided is
         finished first. None if too few answered in time."""
         while now_ns() < until_ns and self.box.sound:
-            need, replies = self.need(), {}
-            async for who, reply in self.send(register.Enter(0), True):
-                if isinstance(reply, Whole):
-                    replies[who] = reply
-                if len(replies) >= need:
-                    break
-            if len(replies) < need:
+            seen = await self.enough(register.Look(), Seen)
+            if seen is None:
                 await asyncio.sleep(PAUSE_S)
                 continue
-            best = max((r.held for r in replies.values()), key=lambda h: h.version)
-            await self.learn(best.version, best.content)
-            open_to = {v for r in replies.values() for v, _, accepted, _ in r.slots
-                       if accepted > register.NONE and v > best.version}
-            if not open_to:
+            if max(r.version for r in seen) > self.box.held.version:
+                for whole in await self.enough(register.Enter(0), Whole) or []:
+                    await self.learn(whole.held.version, whole.held.content)
+                continue
+            undecided = max(r.undecided for r in seen)
+            if undecided <= self.box.held.version:
                 return self.box.held
-            await self.propose(max(open_to), None, until_ns)
+            await self.propose(undecided, None, until_ns)
+        return None
+
+    async def enough(self, letter: Letter, kind: type[T]) -> list[T] | None:
+        """Replies of a kind from as many boxes as must agree; none if too few answer."""
+        need, replies = self.need(), dict[str, T]()
+        async for who, reply in self.send(letter, True):
+            if isinstance(reply, kind):
+                replies[who] = reply
+            if len(replies) >= need:
+                return [*replies.values()]
         return None
 
     # -- from time to time
@@ -216,5 +223,13 @@
             await self.propose(version, None, now + 1_000_000_000)
 
 
-def sound(reply: Reply) -> bool:
-    return not isinstance(reply, Unsound)
+def read_letter(body: bytes) -> Letter | Reply:
+    """Raises post.SHAPE."""
+    try:
+        return register.unpack(post.unpack(zlib.decompress(body)))
+    except zlib.error as trouble:
+        raise post.Garbled(f"no letter: {trouble}") from None
+
+
+def write_letter(what: Letter | Reply) -> bytes:
+    return zlib.compress(post.pack(register.pack(what)), 6)
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -18,12 +18,11 @@
 from meadowworks.roster.beats import PREFIX as BACKENDS
 from meadowworks.roster.beats import Beats
 from meadowworks.roster.lives import Lives
-from meadowworks.signalbox.office import Office
+from meadowworks.signalbox.office import Office, read_letter, write_letter
 from meadowworks.signalbox.resources import Backends, Config, routes
 from meadowworks.telegraph import post
 from meadowworks.telegraph.members import Card, Members
 from meadowworks.telegraph.news import News, Piece, Told
-from meadowworks.timetable import register
 from meadowworks.timetable.register import Held
 from meadowworks.track import logs
 from meadowworks.track.boot import Boot, load
@@ -34,6 +33,7 @@
 
 PULL_MS, PULL_S = 1000, 2.0  # that a pull may be held back, and is waited for
 TOUCH_NS = 2_500_000_000  # a voter that answered a pull within this is in touch
+SUMMARY_TURNS = 10  # seconds between the log's lines of counters
 BODY_MOST = 64 << 20
 log = logs.part("box")
 
@@ -62,7 +62,7 @@
                              self.peer, self.learnt)
         self.kept = self.office.disk.lives()
         self.beats.restore(now_ns(), {ident: post.unpack(value) for ident, value in self.kept.items()})
-        self.backends = Backends(self.beats, self.news, self.members, boot.tolerate)
+        self.backends = Backends(self.beats, self.news, self.members, boot.tolerate, self.near)
         self.routes = routes(self.backends, Config(self.office))
         self.tasks = Tasks()
         self.inner_door = Door(self.inner, Limits(65536, 3.0, 30.0))
@@ -71,6 +71,14 @@
     def peer(self, host: str, port: int) -> Peer:
         return self.peers.setdefault((host, port), Peer(host, port))
 
+    def near(self, ident: str) -> str | None:
+        """The ctl address of a signalbox in a backend's zone, if this one is of another; ports are alike."""
+        life = self.beats.lives.get(ident)
+        if life is None or life.zone == self.boot.zone:
+            return None
+        hosts = [c.host for c in self.members.voters(now_ns()) if c.zone == life.zone]
+        return f"{hosts[0]}:{self.boot.bind['ctl'][1]}" if hosts else None
+
     # -- what wakes a pull
 
     def told(self, event: Told) -> None:
@@ -97,9 +105,8 @@
                 case "/pull":
                     return await answer(send, 200, await self.pulled(post.read_pull(body)), [])
                 case "/letter":
-                    letter = register.unpack(post.unpack(body))
-                    reply = await self.office.answer(letter)  # type: ignore[arg-type]
-                    return await answer(send, 200, post.pack(register.pack(reply)), [])
+                    reply = await self.office.answer(read_letter(body))  # type: ignore[arg-type]
+                    return await answer(send, 200, write_letter(reply), [])
                 case "/status":
                     return await answer(send, 200, json.dumps(self.status()).encode())
         except post.SHAPE as trouble:
@@ -202,6 +209,9 @@
         self.lives.tick()
         self.lives.changed.clear()
         self.pulse += 1
+        if self.pulse % SUMMARY_TURNS == 0:
+            log.info("sure {}, {} members, {} lives call here, {} known", self.sure(), len(self.members.view),
+                     len(self.beats.lives), len(self.lives.known))
         self.news.say("pulse", self.pulse)
         covers_ms = (now - self.summed_ns) // 1_000_000
         self.summed_ns = now
--- a/meadowworks/signalbox/resources.py
+++ b/meadowworks/signalbox/resources.py
@@ -34,11 +34,14 @@
 
 
 class Backends:
-    """Beats and leaves. A drain is acknowledged only once so many other disks' controllers know of it that
+    """Beats and leaves. `near` names the address of a signalbox in a backend's own zone, if it is not this one:
+    beats between zones cost bytes. A drain is acknowledged only once so many other disks' controllers know of it that
     the loss of those which may be lost leaves one that does."""
 
-    def __init__(self, beats: Beats, news: News, members: Members, others: int) -> None:
+    def __init__(self, beats: Beats, news: News, members: Members, others: int,
+                 near: Callable[[str], str | None]) -> None:
         self.beats, self.news, self.members, self.others = beats, news, members, others
+        self.near = near
         self.moved: set[asyncio.Future[None]] = set()
 
     def heard(self) -> None:
@@ -75,7 +78,8 @@
             return error(400, found.why)
         if found.version and not await self.kept(found.version):
             return error(503, "too few controllers know of it yet", 0.2)
-        return Answer(200)
+        at = self.near(ident)
+        return Answer(200, json.dumps({"beatUrl": at}).encode()) if at else Answer(200)
 
     async def leave(self, ident: str, body: bytes) -> Answer:
         found = self.beats.leave(now_ns(), ident)
--- a/meadowworks/timetable/register.py
+++ b/meadowworks/timetable/register.py
@@ -67,6 +67,19 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class Look:
+    """Asks which version is held and which is undecided, without their contents."""
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """The version held, and the highest above it that some proposal was accepted for; 0: none."""
+
+    version: int
+    undecided: int
+
+
 @dataclass(frozen=True, slots=True)
 class Promised:
     ballot: Ballot
@@ -108,8 +121,8 @@
     slots: tuple[tuple[int, Ballot, Ballot, bytes], ...]
 
 
-Letter = Prepare | Accept | Enter
-Reply = Promised | Accepted | Refused | Past | Unsound | Whole
+Letter = Prepare | Accept | Enter | Look
+Reply = Promised | Accepted | Refused | Past | Unsound | Whole | Seen
 
 
 @dataclass(slots=True)
@@ -126,6 +139,8 @@
     def answer(self, letter: Letter) -> Reply:
         if not self.sound:
             return Unsound()
+        if isinstance(letter, Look):
+            return Seen(self.held.version, self.undecided())
         if isinstance(letter, Enter):
             if letter.era > self.era:
                 self.era, self.dirty = letter.era, True
@@ -323,6 +338,10 @@
             return Refused(int(rest[0]), ballot(rest[1]))
         case "Unsound":
             return Unsound()
+        case "Look":
+            return Look()
+        case "Seen":
+            return Seen(int(rest[0]), int(rest[1]))
     raise ValueError("no letter")
 
 
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -244,7 +244,7 @@
 @pytest.mark.parametrize("message", [
     Prepare(1, 2, Ballot(3, "p")), Accept(1, 2, Ballot(3, "p"), b"c"), register.Enter(2), Accepted(Ballot(1, "p")),
     Promised(Ballot(1, "p"), Ballot(0, ""), b""), register.Refused(2, Ballot(1, "p")), Past(Held(4, b"d")),
-    register.Unsound(), register.Whole(2, Held(1, b"x"), ((3, Ballot(1, "p"), Ballot(0, ""), b""),)),
+    register.Unsound(), register.Look(), register.Seen(3, 4), register.Whole(2, Held(1, b"x"), ((3, Ballot(1, "p"), Ballot(0, ""), b""),)),
 ])
 def test_letters_travel_unchanged(message: Any) -> None:
     raw = post.unpack(post.pack(register.pack(message)))
