A junction with a table from a signalbox that is cut off tells nobody that a route is not there

Cause: before a sure signalbox has answered, the table may lack a route that exists, and 404 ends a client's tries. Change: 503 with a time to come back until then; a test starts a junction while the core is cut.

--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -223,6 +223,9 @@
             return await answer(send, 413, b'{"err":"the body is too large"}')
         target: bytes = scope["target"]
         route = table.find(host, target.partition(b"?")[0].decode("latin-1"))
+        if route is None and not self.sure_ns:
+            # Guards against a table from one that is cut off, which may lack a route that exists.
+            return await self.refused(send, Refuse(503, 300 * MS))
         if route is None:
             return await answer(send, 404, b'{"err":"there is no such route"}')
         limit_ns = came + int(min(route.deadline_ms, milliseconds(deadline, route.deadline_ms)) * MS)
--- a/tests/gateway/features/fleet.feature
+++ b/tests/gateway/features/fleet.feature
@@ -21,3 +21,11 @@
     When version 1 is sent to the first signalbox
     And a backend ends and its address goes to another service
     Then no request reaches the newcomer in its place
+
+  Scenario: A junction starts while the core is cut
+    Given a gateway whose backends beat
+    When version 1 is sent to the first signalbox
+    And a junction starts anew while only one signalbox is there, cut off
+    Then it is not ready, and tells nobody that a route is not there
+    When the others are back
+    Then it is ready, and an older version that comes late changes nothing there
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -19,6 +19,7 @@
 from meadowworks.local.system import Plan, configuration, free_ports
 from meadowworks.signalbox.program import Signalbox
 from meadowworks.timetable.register import Ballot, Prepare, Unsound
+from meadowworks.timetable.routes import load
 from meadowworks.track import boot
 from meadowworks.track.errors import NoAnswer
 from meadowworks.track.line import connect
@@ -58,12 +59,14 @@
         node = self.nodes.pop(place)
         for task in [self.running.pop(place), *node.tasks.running]:
             task.cancel()
-        for door in ("inner_door", "ctl_door"):
-            if found := getattr(node, door, None):
+        for door in ("inner_door", "ctl_door", "door", "polls", "inner"):
+            if (found := getattr(node, door, None)) and hasattr(found, "server_state"):
                 found.server.close()
                 for caller in list(found.server_state.connections):
                     caller.transport.abort()
-        node.office.disk.close()
+        if place < self.plan.signalboxes:
+            node.office.thread.shutdown()  # what is being written is written
+            node.office.disk.close()
 
     async def begin(self) -> None:
         for place in range(self.plan.signalboxes + self.plan.junctions):
@@ -212,6 +215,44 @@
     assert at_work.get(b"connection") == later.get(b"connection") == b"close"
 
 
+@when("a junction starts anew while only one signalbox is there, cut off")
+def starts_cut_off(fleet: Fleet) -> None:
+    async def whole() -> None:
+        for place in (1, 2, 4):
+            await fleet.kill(place)
+        fleet.nodes[0].touched_ns.clear()
+        await fleet.start(4)
+        await until(lambda: fleet.nodes[4].table is not None, "it has a table")
+
+    fleet.run(whole())
+
+
+@then("it is not ready, and tells nobody that a route is not there")
+def not_ready(fleet: Fleet) -> None:
+    assert not fleet.nodes[4].is_ready()
+    unknown = fleet.run(fleet.serve(1, b"GET", b"/new/a"))
+    assert unknown.status == 503 and float(unknown.get(b"retry-after")) < 1
+
+
+@when("the others are back")
+def others_back(fleet: Fleet) -> None:
+    async def whole() -> None:
+        await fleet.start(1)
+        await fleet.start(2)
+        await until(lambda: fleet.nodes[4].is_ready(), "it is ready")
+
+    fleet.run(whole())
+
+
+@then("it is ready, and an older version that comes late changes nothing there")
+def never_back(fleet: Fleet) -> None:
+    assert fleet.run(fleet.serve(1, b"GET", b"/new/a")).status == 404
+    node = fleet.nodes[4]
+    node.take_table(load(configuration(7, ROUTES)))
+    node.take_table(load(configuration(6, {"/new/": ("safe", "lookup")})))
+    assert node.table.version == 7 and node.table.find("local.example", "/new/a") is None
+
+
 @when("a backend ends and its address goes to another service")
 def reused(fleet: Fleet) -> None:
     async def whole() -> None:
