A silent try of a repeatable request has another beside it sooner, where a slot is free

Cause: a second try began only at the route's target, when the full worth was lost. Change: at half of that, if a slot is free, within the retry budget.

--- a/meadowworks/carriage/choice.py
+++ b/meadowworks/carriage/choice.py
@@ -24,14 +24,16 @@
 
 
 def reach(own: Mapping[int, float], abroad: Mapping[int, float], busy: Mapping[int, float],
-          needs: Mapping[int, float], target: float) -> tuple[dict[int, float], dict[int, float]]:
+          needs: Mapping[int, float], target: float) -> tuple[dict[int, float], dict[int, float], bool]:
     """The lines that a request may take and the delay of each: those of its own zone, and the other zones'
-    too if no slot is free at home and none there is likely to answer within the route's target."""
+    too if no slot is free at home and none there is likely to answer within the route's target. Last,
+    whether a slot is free."""
     waits = delays({**own, **abroad}, busy, needs)
     free = any(busy.get(place, 0.0) + 1 <= weight for place, weight in own.items())
     if free or own and min(waits[place] for place in own) <= HOPE * target:
-        return dict(own), {place: waits[place] for place in own}
-    return {**abroad, **own}, {place: wait * (1.0 if place in own else FAR) for place, wait in waits.items()}
+        return dict(own), {place: waits[place] for place in own}, free
+    return ({**abroad, **own}, {place: wait * (1.0 if place in own else FAR) for place, wait in waits.items()},
+            free)
 
 
 def learn(old: float | None, spent: float, busy: float, weight: float) -> float:
--- a/meadowworks/carriage/journey.py
+++ b/meadowworks/carriage/journey.py
@@ -29,6 +29,7 @@
 )
 
 MS = 1_000_000
+EARLY = 0.5  # part of the usual wait after which a try has another beside it, where a slot is free
 PACE_NS = 60 * MS  # in which room may be found again: what a time to come back is reckoned with
 LEAST_NS = 20 * MS  # with less time left no further try begins
 SPENT = Stop("no further try is within the service's budget")
@@ -86,6 +87,7 @@
     tries: dict[int, Try] = field(default_factory=dict)
     failed: dict[int, int] = field(default_factory=dict)  # tries whose answer is a backend's own failure
     over: bool = False
+    usual_ns: int = 0  # until when the newest try is waited for where no slot is free
 
     def start(self, now: int, lines: Mapping[int, float], delays: Mapping[int, float], chance: float) -> Step:
         if self.limit_ns - now < LEAST_NS:
@@ -97,10 +99,13 @@
         return self.send(now, place, lines)
 
     def send(self, now: int, place: int, lines: Mapping[int, float]) -> Send:
-        wait = wait_ns(self.way, self.policy, [*self.tries.values()], lines, self.limit_ns - now)
+        left = self.limit_ns - now
+        wait = wait_ns(self.way, self.policy, [*self.tries.values()], lines, left)
         number = len(self.tries) + 1
-        self.tries[number] = Try(place, SENT, now + wait)
-        return Send(number, place, now + wait)
+        self.usual_ns = now + wait
+        until = now + (int(EARLY * wait) if wait < left else wait)
+        self.tries[number] = Try(place, SENT, until)
+        return Send(number, place, until)
 
     def ended(self, now: int, number: int, state: int, status: int, lines: Mapping[int, float],
               delays: Mapping[int, float], chance: float, budget: Callable[[], bool]) -> Step:
@@ -116,13 +121,15 @@
         return self.follow(now, lines, delays, chance, budget)
 
     def due(self, now: int, lines: Mapping[int, float], delays: Mapping[int, float], chance: float,
-            budget: Callable[[], bool]) -> Step:
-        """A try was waited for long enough: another may go beside it, whose answer counts as well. At the
-        limit all is over."""
+            budget: Callable[[], bool], free: bool = True) -> Step:
+        """A try was waited for long enough: another may go beside it, whose answer counts as well; sooner
+        where a slot is `free`, so that it takes nobody's turn. At the limit all is over."""
         if now >= self.limit_ns:
             return self.refuse(now, chance)
         for one in self.tries.values():
-            if one.state == SENT and one.due_ns <= now:
+            if one.state == SENT and one.due_ns <= now < self.usual_ns and not free:
+                one.due_ns = self.usual_ns
+            elif one.state == SENT and one.due_ns <= now:
                 one.state = LATE
                 found = self.another(now, lines, delays, chance, budget)
                 if isinstance(found, Again):
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -257,7 +257,7 @@
         again = lambda: budget.take(now_ns())  # noqa: E731
         tasks: dict[asyncio.Task[Tried], int] = {}
         replies: dict[int, Reply | None] = {}
-        step: Step = journey.start(now, *self.seen(service, target_ns, now), self.random.random())
+        step: Step = journey.start(now, *self.seen(service, target_ns, now)[:2], self.random.random())
         try:
             while True:
                 if isinstance(step, Forward):
@@ -273,9 +273,9 @@
                 done, _ = await asyncio.wait(tasks, timeout=max(0.0, (until - now_ns()) / 1e9),
                                              return_when=asyncio.FIRST_COMPLETED)
                 now = now_ns()
-                lines, waits = self.seen(service, target_ns, now)
+                lines, waits, free = self.seen(service, target_ns, now)
                 if not done:
-                    step = journey.due(now, lines, waits, self.random.random(), again)
+                    step = journey.due(now, lines, waits, self.random.random(), again, free)
                     continue
                 for task in done:
                     number, tried = tasks.pop(task), task.result()
@@ -307,8 +307,8 @@
             self.relist()
         return tried
 
-    def seen(self, service: Service, target_ns: float, now: int) -> tuple[dict[int, float], dict[int, float]]:
-        """The lines that a request may take now, and how long each would take."""
+    def seen(self, service: Service, target_ns: float, now: int) -> tuple[dict[int, float], dict[int, float], bool]:
+        """The lines that a request may take now, how long each would take, and whether a slot is free."""
         names = service.places.names
         kept: dict[int, float] = {}
         own: dict[int, float] = {}
@@ -331,8 +331,8 @@
                 busy[place] = self.yard.busy(now, ident, home)
                 if (need := self.yard.stall(ident).needs) is not None:
                     needs[place] = need
-        lines, waits = reach(own, abroad, busy, needs, target_ns)
-        return (lines, waits) if lines else (kept, {})
+        lines, waits, free = reach(own, abroad, busy, needs, target_ns)
+        return (lines, waits, free) if lines else (kept, {}, False)
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
--- a/tests/gateway/test_carriage.py
+++ b/tests/gateway/test_carriage.py
@@ -64,7 +64,10 @@
     journey = Journey(way(True, 2 * SECOND, SECOND // 2), policy(True, 2, False), 2 * SECOND)
     first = journey.start(0, LINES, {}, 0.1)
     assert isinstance(first, Send)
-    second = journey.due(first.until_ns, LINES, {}, 0.1, lambda: True)
+    assert first.until_ns == SECOND // 4
+    full = journey.due(first.until_ns, LINES, {}, 0.1, lambda: True, free=False)
+    assert full == Wait(SECOND // 2)  # it would take another's turn
+    second = journey.due(SECOND // 2, LINES, {}, 0.1, lambda: True, free=False)
     assert isinstance(second, Send) and second.place != first.place
     assert isinstance(journey.ended(SECOND, second.number, UNRUN, 503, LINES, {}, 0.1, lambda: True), Wait)
     assert isinstance(journey.ended(SECOND, first.number, ANSWERED, 200, LINES, {}, 0.1, lambda: True), Forward)
@@ -102,7 +105,7 @@
     assert reach(own, abroad, {1: 1.0}, needs, 400.0)[0] == own
     assert reach(own, abroad, {1: 3.0}, needs, 400.0)[0] == own  # a call waits there, and yet in time
     for busy, first in (({1: 6.0}, 2), ({1: 6.0, 2: 6.0}, 1), ({1: 9.0, 2: 4.0}, 2)):
-        lines, waits = reach(own, abroad, busy, needs, 400.0)
+        lines, waits, _ = reach(own, abroad, busy, needs, 400.0)
         assert lines == {1: 2.0, 2: 2.0} and min(waits, key=lambda p, w=waits: w[p]) == first  # type: ignore[misc]
     assert reach(own, abroad, {1: 1.0}, {1: 300.0}, 400.0)[0] == own  # slow, but a slot is free
     assert reach({}, abroad, {}, needs, 400.0)[0] == abroad
