--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -40,6 +40,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 PULL_MS, PULL_S = 1000, 1.6
 POLLS_S = 2.3  # that connections may still come for after readyz says no: two polls a second apart
+TICK_S = 0.25  # the controllers' own turns come every half second
 SUMMARY_S = 10.0  # between the log's lines of counters
 SETTLE_NS = 3 * SECOND  # that a first list is waited for until every service has a backend
 log = logs.part("junction")
@@ -398,7 +399,7 @@
         log.info("{} serves", self.boot.node)
         self.tasks.start(self.pull())
         self.tasks.start(self.tasks.every(1.0, self.second))
-        self.tasks.start(self.tasks.every(0.1, self.half))
+        self.tasks.start(self.tasks.every(TICK_S, self.half))
         self.tasks.start(self.tasks.every(SUMMARY_S, self.summary))
         await asyncio.wait([told, self.tasks.broken], return_when=asyncio.FIRST_COMPLETED)
         if self.tasks.broken.done():
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -32,6 +32,7 @@
 from meadowworks.track.program import Tasks, now_ns, run
 
 PULL_MS, PULL_S = 1000, 2.0  # that a pull may be held back, and is waited for
+BATCH_S = 0.15  # that news of backends gather in before a junction is told: each telling costs every junction
 TOUCH_NS = 2_500_000_000  # a voter that answered a pull within this is in touch
 SUMMARY_TURNS = 10  # seconds between the log's lines of counters
 BODY_MOST = 64 << 20
@@ -140,6 +141,8 @@
             self.waiting.add(waiting)
             await asyncio.wait([waiting], timeout=left)
             self.waiting.discard(waiting)
+            if not pull.me.voting and self.office.box.held.version <= pull.table and not self.leaving:
+                await asyncio.sleep(min(BATCH_S, max(0.0, end - asyncio.get_running_loop().time())))
             pieces = self.news.lacks(pull.vector, pull.me.life)
         held = self.office.box.held
         table = (held.version, held.content) if held.version > pull.table else None
--- a/meadowworks/track/peer.py
+++ b/meadowworks/track/peer.py
@@ -7,7 +7,7 @@
 from meadowworks.track.errors import NoAnswer
 from meadowworks.track.line import Line, connect
 
-CONNECT_S = 0.5
+CONNECT_S = 0.25  # a machine without power is silent: the next one is asked
 ANSWER_MOST = 64 << 20
 KEEP = 2  # idle lines
 
