--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -237,6 +237,14 @@
     assert unknown.status == 503 and float(unknown.get(b"retry-after")) < 1
 
 
+@then("a drain that no other disk's controller hears of is not acknowledged")
+def not_acknowledged(fleet: Fleet) -> None:
+    backend = fleet.backends[1]
+    backend.state = "draining"
+    assert fleet.run(backend.beat(fleet.plan.ctls()[0])) == 503
+    assert fleet.run(backend.beat(fleet.plan.ctls()[0], leave=True)) == 503
+
+
 @when("the others are back")
 def others_back(fleet: Fleet) -> None:
     async def whole() -> None:
