--- a/tests/gateway/features/fleet.feature
+++ b/tests/gateway/features/fleet.feature
@@ -11,6 +11,8 @@
     Then it is refused, and every signalbox reads back what was sent first
     When an older version is sent late
     Then it is acknowledged and changes nothing
+    When two contents under one number are sent at once, again and again
+    Then exactly one of each two is acknowledged, and that one is read back
     When the first signalbox comes back with an empty disk
     Then it enters anew and reads back what was acknowledged
     When a junction is told to end with a request at work
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -171,6 +171,30 @@
     assert fleet.run(fleet.read(2)) == json.loads(configuration(5, ROUTES))
 
 
+@when("two contents under one number are sent at once, again and again", target_fixture="races")
+def at_once(fleet: Fleet) -> list[tuple[int, int, int, Any]]:
+    async def whole() -> list[tuple[int, int, int, Any]]:
+        found = []
+        for version in range(6, 14):
+            others = {"/read/": ("safe", "orders")}
+            one, two = await asyncio.gather(
+                fleet.replace(version % 3, version, ROUTES), fleet.replace((version + 1) % 3, version, others)
+            )
+            found.append((version, one, two, await fleet.read((version + 2) % 3)))
+        assert await fleet.replace(1, 14, ROUTES) == 200
+        return found
+
+    return fleet.run(whole())  # type: ignore[no-any-return]
+
+
+@then("exactly one of each two is acknowledged, and that one is read back")
+def exactly_one(races: list[tuple[int, int, int, Any]]) -> None:
+    for version, one, two, back in races:
+        assert sorted((one, two)) == [200, 409], (version, one, two)
+        routes = ROUTES if one == 200 else {"/read/": ("safe", "orders")}
+        assert back == json.loads(configuration(version, routes))
+
+
 @when("the first signalbox comes back with an empty disk")
 def wiped(fleet: Fleet) -> None:
     async def whole() -> None:
@@ -188,7 +212,7 @@
 @then("it enters anew and reads back what was acknowledged")
 def entered(fleet: Fleet) -> None:
     assert fleet.nodes[0].office.box.era > 1
-    assert fleet.run(fleet.read(0)) == json.loads(configuration(5, ROUTES))
+    assert fleet.run(fleet.read(0)) == json.loads(configuration(14, ROUTES))
 
 
 @when("a junction is told to end with a request at work", target_fixture="last")
