Home is left the later the larger a service's answers are

Change: the part of the target that home's delay may take rises from a half to the whole with the size of answers.

--- a/meadowworks/carriage/choice.py
+++ b/meadowworks/carriage/choice.py
@@ -10,8 +10,9 @@
 from collections.abc import Mapping
 
 FAR = 1.4  # times the delay that one abroad must undercut: what is known of it is older, and bytes cost
-# Part of the target that an expected delay may take: calls of one route differ severalfold in their work.
-HOPE = 0.6
+# Part of the target that home's expected delay may take before other zones are thought of: calls of one route
+# differ severalfold in their work. More for larger answers, whose bytes between zones must be worth it.
+HOPE, HOPE_KB, HOPE_MOST = 0.5, 0.1, 1.0
 LEARN = 0.1  # part that a new answer has in what a backend is taken to need for a call
 
 
@@ -33,13 +34,15 @@
     busy: Mapping[int, float],
     needs: Mapping[int, float],
     target: float,
+    size: float = 0.0,
 ) -> tuple[dict[int, float], dict[int, float], bool]:
     """The lines that a request may take and the delay of each: those of its own zone, and the other zones'
     too if no slot is free at home and none there is likely to answer within the route's target. Last,
-    whether a slot is free."""
+    whether a slot is free. `size` is the bytes that an answer of the service has as a rule."""
+    hope = min(HOPE_MOST, HOPE + HOPE_KB * size / 1000)
     waits = delays({**own, **abroad}, busy, needs)
     free = any(busy.get(place, 0.0) + 1 <= weight for place, weight in own.items())
-    if free or own and min(waits[place] for place in own) <= HOPE * target:
+    if free or own and min(waits[place] for place in own) <= hope * target:
         return dict(own), {place: waits[place] for place in own}, free
     return (
         {**abroad, **own},
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -310,7 +310,9 @@
             sums.tried(backend.ident, good, tried.spent_ns / MS)
             if tried.load is not None:
                 sums.loaded(backend.ident, *tried.load)
-        if good:
+        if good and tried.reply is not None:
+            if service := self.services.get(backend.svc):
+                service.answered(len(tried.reply.body))
             self.yard.answered(backend.ident, tried.spent_ns, busy, backend.capacity)
         if tried.over:
             log.info("{} is over: another answers at its address", backend.ident)
@@ -344,7 +346,7 @@
                 busy[place] = self.yard.busy(now, ident, home)
                 if (need := self.yard.stall(ident).needs) is not None:
                     needs[place] = need
-        lines, waits, free = reach(own, abroad, busy, needs, target_ns)
+        lines, waits, free = reach(own, abroad, busy, needs, target_ns, service.size)
         return (lines, waits, free) if lines else (kept, {}, False)
 
     def count(self, what: str) -> None:
--- a/meadowworks/points/service.py
+++ b/meadowworks/points/service.py
@@ -20,6 +20,7 @@
 REPORT_NS = SECOND
 COLD_NS = 30 * SECOND  # of backends that do not tell how long they are slow
 AMPLE = 1e12  # what the channel to a table in the same process bears
+SIZE_PART = 0.05  # that a new answer has in what answers are taken to measure
 LATE_NS = 3 * SECOND  # figures of the zone older than this are replaced by this junction's own
 
 
@@ -78,6 +79,7 @@
         self.lines: dict[int, float] = {}  # the table of the own zone
         self.abroad: dict[int, float] = {}  # lines of the other zones' tables to their own backends
         self.level, self.retry = 1.0, 1
+        self.size = 0.0  # bytes of an answer, in the mean of late
         self.marked: list[int] = []
         self.cold_ns = COLD_NS
         self.wake_ns = now
@@ -188,6 +190,9 @@
         self.controller.asked(now, zone, 0, asked, 0, covers_ns)
         self.heard_ns[zone] = now
 
+    def answered(self, size: int) -> None:
+        self.size += SIZE_PART * (size - self.size)
+
     def late(self, now: int, zone: int) -> bool:
         return now - self.heard_ns.get(zone, 0) > LATE_NS
 
--- a/tests/gateway/test_carriage.py
+++ b/tests/gateway/test_carriage.py
@@ -106,9 +106,11 @@
     own, abroad, needs = {1: 2.0}, {2: 2.0}, {1: 100.0, 2: 100.0}
     assert reach(own, abroad, {1: 1.0}, needs, 400.0)[0] == own
     assert reach(own, abroad, {1: 3.0}, needs, 400.0)[0] == own  # a call waits there, and yet in time
-    for busy, first in (({1: 6.0}, 2), ({1: 6.0, 2: 6.0}, 1), ({1: 9.0, 2: 4.0}, 2)):
+    for busy, first in (({1: 4.0}, 2), ({1: 4.0, 2: 4.0}, 1), ({1: 9.0, 2: 4.0}, 2)):
         lines, waits, _ = reach(own, abroad, busy, needs, 400.0)
         assert lines == {1: 2.0, 2: 2.0} and min(waits, key=lambda p, w=waits: w[p]) == first  # type: ignore[misc]
+    assert 2 in reach(own, abroad, {1: 4.0}, needs, 400.0, 400.0)[0]
+    assert reach(own, abroad, {1: 4.0}, needs, 400.0, 5000.0)[0] == own  # its bytes are not worth it
     assert reach(own, abroad, {1: 1.0}, {1: 300.0}, 400.0)[0] == own  # slow, but a slot is free
     assert reach({}, abroad, {}, needs, 400.0)[0] == abroad
 
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -158,7 +158,9 @@
     news(reader, middle)
     told.clear()
     reader.take(0, whole)  # comes late
-    assert not told and "b/9" in reader.sources["s"].entries and reader.sources["s"].entries["b/0"][1] == "new"
+    assert (
+        not told and "b/9" in reader.sources["s"].entries and reader.sources["s"].entries["b/0"][1] == "new"
+    )
     for k in range(TOMBS + 9):
         source.say(f"t{k}", None)
     news(middle, source)
