A late 421 of another request is no proof that this one did not run

Cause: found by reading the change again: 421 was taken as proof before the answer's id was compared, so a surplus 421 in an unsafe request's place let it be sent elsewhere although it may run.

Change: the id is compared first in junction/forward.py; two rows in carriage.feature.

--- a/meadowworks/junction/forward.py
+++ b/meadowworks/junction/forward.py
@@ -120,13 +120,14 @@
         if load is not None:
             yard.told(now, backend.ident, *load)
         not_run = reply.get(b"x-not-run") is not None
-        if reply.status == 421:
-            line.close()
-            return Tried(UNRUN, reply, now - start, over=reply.get(b"x-backend-id") != backend.ident.encode())
         if spoilt(request, reply):
-            # Guards against a late answer to an earlier request in this one's place.
+            # Guards against a late answer to an earlier request in this one's place, which would be taken
+            # for this one's: as its success, or as proof that it did not run.
             line.close()
             return Tried(DROPPED, None, now - start)
+        if reply.status == 421:
+            line.close()
+            return Tried(UNRUN, reply, now - start, over=reply.get(b"x-backend-id") != backend.ident.encode())
         yard.keep(now, backend.ident, line, kept_s(reply))
         return Tried(proof(reply.status, not_run), reply, now - start, load=load)
     except NoAnswer as trouble:
--- a/tests/gateway/features/carriage.feature
+++ b/tests/gateway/features/carriage.feature
@@ -41,6 +41,8 @@
       | a success without a seal             | unsafe | dropped  |
       | with a reset after it has read       | unsafe | dropped  |
       | as another life                      | unsafe | unrun    |
+      | 421 to another request               | unsafe | dropped  |
+      | not run to another request           | unsafe | dropped  |
       | by not listening                     | unsafe | unrun    |
       | with bytes that are no answer        | safe   | dropped  |
       | in a coding                          | safe   | dropped  |
--- a/tests/gateway/test_carriage.py
+++ b/tests/gateway/test_carriage.py
@@ -168,6 +168,10 @@
             return [None]
         case "as another life":
             return [b"HTTP/1.1 421 Misdirected Request\r\nX-Backend-Id: other\r\nContent-Length: 0\r\n\r\n"]
+        case "421 to another request":
+            return [b"HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: else\r\nContent-Length: 0\r\n\r\n"]
+        case "not run to another request":
+            return [b"HTTP/1.1 503 Full\r\nX-Request-Id: else\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"]
         case "with bytes that are no answer":
             return [b"\x00\x01garbage\r\n\r\n"]
         case "in a coding":
