--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -19,6 +19,7 @@
 from meadowworks.check import faults, paths, plain, runs
 from meadowworks.check.explore import explore, replay
 from meadowworks.check.model import DEADLOCK, FAULT, Live, Model, Property, Step, taken
+from meadowworks.check.models import module
 
 
 class Lamp:
@@ -273,3 +274,48 @@
             assert line, said
             said += line
         both.send_signal(signal.SIGINT)
+
+
+# Two paths that only four steps reach, each with the guard that keeps it.
+NEAR = (
+    (
+        6,
+        (("list", 0, "ready"), ("list", 0, "draining"), ("leave", 0), ("join", 0)),
+        module.drains_first,
+        ("joined", "not (b := self.backends[p]).ready or", "(b := self.backends[p]) and"),
+    ),
+    (
+        6,
+        (("list", 0, "ready"), ("start", 0), ("leave", 0), ("join", 0)),
+        module.cold_spared,
+        ("joined", "or self.cold(now, b) and w > b.weight * self.part(now, b)", ""),
+    ),
+    (
+        3,
+        (("leave", 1), ("list", 1, "ready"), ("start", 1), ("tick",)),
+        module.cold_spared,
+        ("wanted", "(min(1.0, a) if self.cold(now, b) else a)", "a"),
+    ),
+)
+
+
+@pytest.mark.parametrize(("start", "steps", "holds", "guard"), NEAR, ids=["drains", "restarted", "abroad"])
+def test_paths_of_four_steps_keep_the_rules_and_break_them_without_their_guard(
+    start: int, steps: tuple[Step, ...], holds: Any, guard: tuple[str, str, str]
+) -> None:
+    def held() -> bool:
+        world = module.STARTS[start]()
+        module.play(world, *steps)
+        return bool(holds(world))
+
+    at, was, now = guard
+    assert held()
+    with faults.planted(faults.Fault("", "module", faults.RULES + at, was, now, ())):
+        assert not held()
+
+
+def test_what_is_forgotten_before_it_is_looked_at_again_stops_nobody() -> None:
+    world = module.quiet()
+    world.module.later(world.now, lambda: world.module.hold(99, True))
+    world.do(("tick",))
+    assert 99 not in world.module.backends
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -135,7 +135,7 @@
     (zone, "cold", "a start under an old name is passed over", "listed",
      "if entry.since_ns > known.since_ns:", "if False:"),
     (split, "drain", "who is absent from a whole list stays", "listed",
-     "if place not in named:", "if False:"),
+     "if place not in named]", "if False]"),
     (join, "cold", "a new server enters at its whole weight", "part",
      "RUNGS[backend.rung] * (1.0 if step == RAMP[-1] else RAMP_PART * least if step else ENTRY)",
      "RUNGS[backend.rung]"),
