check explores news between controllers and a request's way: models telegraph and carriage

Change: models carriage (journey, answers, yard, lives) and telegraph (news, members, beats, lives) with 24 seeded faults; what an answer proves moves out of the shell into carriage/answers.py; News takes how many tombs it keeps.

--- a/meadowworks/carriage/journey.py
+++ b/meadowworks/carriage/journey.py
@@ -16,7 +16,6 @@
     DROPPED,
     LATE,
     SENT,
-    UNRUN,
     Again,
     Stop,
     Try,
@@ -27,13 +26,13 @@
     sure,
     wait_ns,
 )
+from meadowworks.carriage.answers import PROMISES
 
 MS = 1_000_000
 EARLY = 0.5  # part of the usual wait after which a try has another beside it, where a slot is free
 PACE_NS = 60 * MS  # in which room may be found again: what a time to come back is reckoned with
 LEAST_NS = 20 * MS  # with less time left no further try begins
 SPENT = Stop("no further try is within the service's budget")
-PROMISES = (408, 421, 429, 503)  # statuses that promise that a request has not run
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,13 +69,6 @@
 Step = Send | Wait | Forward | Refuse
 
 
-def proof(status: int, not_run: bool) -> int:
-    """What an answer of a backend says of a try, by its status and whether it states that it did not run."""
-    if not_run or status == 421:
-        return UNRUN
-    return DROPPED if status >= 500 or status in PROMISES else ANSWERED
-
-
 @dataclass(slots=True)
 class Journey:
     """`limit_ns` is when the client's or the operator's time is over. `policy` as `attempts` numbers it."""
--- a/meadowworks/check/commands.py
+++ b/meadowworks/check/commands.py
@@ -21,7 +21,7 @@
 
 
 def check(
-    model: Annotated[str, Arg(help="attempt, connection, module, grants or timetable; all without one")] = "",
+    model: Annotated[str, Arg(help=f"{', '.join(runs.MODELS)}; all without one")] = "",
     large: Annotated[bool, Arg(long=True, help="larger worlds: minutes on several cores")] = False,
     seeded: Annotated[
         bool, Arg(long="--faults/--no-faults", help="look for the seeded faults too")
--- a/meadowworks/check/faults.py
+++ b/meadowworks/check/faults.py
@@ -901,4 +901,189 @@
         starts=(2,),
     ),
 )
-FAULTS = (*ATTEMPT, *CONNECTION, *GRANTS, *MODULE, *TIMETABLE)
+
+JOURNEY, ANSWERS = "meadowworks.carriage.journey:Journey.", "meadowworks.carriage.answers:"
+CARRIAGE = (
+    *(
+        Fault(name, "carriage", at, was, now, breaks)
+        for name, at, was, now, breaks in (
+            (
+                "any failure of a backend is proof",
+                ANSWERS + "proof",
+                "if not_run or status == 421:",
+                "if not_run or status >= 400:",
+                ("at most once", "promises kept"),
+            ),
+            (
+                "another request's answer is taken",
+                ANSWERS + "judge",
+                "if spoilt(asked, status, get):",
+                "if False:",
+                ("own answer", "at most once", "promises kept"),
+            ),
+            (
+                "ids of failures are not compared",
+                ANSWERS + "spoilt",
+                "(told is not None or status < 300)",
+                "status < 300",
+                ("at most once", "promises kept"),
+            ),
+            (
+                "a line with a spoilt answer is kept",
+                ANSWERS + "judge",
+                "return Verdict(DROPPED, sound=False, keep=False)",
+                "return Verdict(UNRUN, sound=False, keep=False)",
+                ("at most once", "promises kept"),
+            ),
+            (
+                "a line to another life is kept",
+                ANSWERS + "judge",
+                "!= life, keep=False)",
+                "!= life)",
+                ("own lines",),
+            ),
+            (
+                "an unsafe request has another try beside it",
+                AGAIN + "may_follow",
+                "if not sure(tries) and not (way.repeatable and policy >= AFTER_ANY):",
+                "if False:",
+                ("at most once",),
+            ),
+            (
+                "what was given up is told 503",
+                JOURNEY + "refuse",
+                "if sure([*self.tries.values()]):",
+                "if True:",
+                ("promises kept",),
+            ),
+            (
+                "a backend's own 503 goes to the client",
+                JOURNEY + "ended",
+                "if state == DROPPED and status and status not in PROMISES:",
+                "if state == DROPPED and status:",
+                ("promises kept",),
+            ),
+            (
+                "a reset is proof",
+                JOURNEY + "ended",
+                "self.tries[number].state = state",
+                "self.tries[number].state = state if status or state != DROPPED else 2",
+                ("at most once", "promises kept"),
+            ),
+            (
+                "one try more than allowed",
+                "meadowworks.carriage.journey:policy",
+                "if tries <= 1 or jammed:",
+                "if jammed:",
+                ("tries bounded",),
+            ),
+            (
+                "what drains is in the tables",
+                "meadowworks.roster.lives:Lives.state",
+                "return GONE if rank == RANK[GONE] else DRAINING",
+                "return GONE if rank == RANK[GONE] else UP",
+                ("drains kept",),
+            ),
+            (
+                "a request whose tries are spent waits",
+                JOURNEY + "follow",
+                "return self.refuse(now, chance)",
+                "return self.wait(now)",
+                ("told at once",),
+            ),
+        )
+    ),
+)
+NEWS, BEATS = "meadowworks.telegraph.news:", "meadowworks.roster.beats:Beats."
+TELEGRAPH = (
+    *(
+        Fault(name, "telegraph", at, was, now, breaks)
+        for name, at, was, now, breaks in (
+            (
+                "a late beat takes a drain back",
+                BEATS + "beat",
+                "worse = RANK[status[\"state\"]] > RANK[life.state]",
+                "worse = status[\"state\"] != life.state",
+                ("never back", "own words"),
+            ),
+            (
+                "the newest word counts, not the furthest",
+                "meadowworks.roster.lives:Lives.state",
+                "rank = max(RANK[s.state] for s in sources.values())",
+                "rank = RANK[list(sources.values())[-1].state]",
+                ("never back", "acknowledged", "same list", "own words"),
+            ),
+            (
+                "one that calls a life quiet is enough",
+                "meadowworks.roster.lives:Lives.state",
+                "all(s.quiet for s in alive.values())",
+                "any(s.quiet for s in alive.values())",
+                ("quiet by all",),
+            ),
+            (
+                "a receipt is not waited for",
+                NEWS + "News.holders",
+                "vector.get(self.me, -1) >= version",
+                "version",
+                ("acknowledged",),
+            ),
+            (
+                "a vector of any version is a receipt",
+                NEWS + "News.holders",
+                "vector.get(self.me, -1) >= version",
+                "self.me in vector",
+                ("acknowledged",),
+            ),
+            (
+                "changes are told to who needs a snapshot",
+                NEWS + "News.lacks",
+                "whole = have < source.floor or have < 0",
+                "whole = have < 0",
+                ("copies whole",),
+            ),
+            (
+                "a snapshot leaves what is not in it",
+                NEWS + "News.take",
+                "left = set(source.entries) - {key for _, key, _ in piece.changes}",
+                "left = set()",
+                ("copies whole",),
+            ),
+            (
+                "who took a snapshot tells changes from before it",
+                NEWS + "News.take",
+                "source.floor = piece.top",
+                "pass",
+                ("copies whole",),
+            ),
+            (
+                "an older answer is taken",
+                NEWS + "News.take",
+                "if piece.top <= source.top and not fresh:",
+                "if False:",
+                ("copies whole", "never back", "same list"),
+            ),
+            (
+                "the first change that is lacked is left out",
+                NEWS + "News.lacks",
+                "source.order.irange(have + 1)",
+                "source.order.irange(have + 2)",
+                ("copies whole", "acknowledged", "same list"),
+            ),
+            (
+                "an older card replaces a newer",
+                "meadowworks.telegraph.members:Members.met",
+                "if old is None or card.beat > old.card.beat:",
+                "if True:",
+                ("cards rise",),
+            ),
+            (
+                "a silent life is gone for good",
+                BEATS + "tick",
+                "life.quiet = True",
+                "life.state = GONE",
+                ("none buried alive",),
+            ),
+        )
+    ),
+)
+FAULTS = (*ATTEMPT, *CONNECTION, *GRANTS, *MODULE, *TIMETABLE, *CARRIAGE, *TELEGRAPH)
--- /dev/null
+++ b/meadowworks/check/models/telegraph.py
@@ -0,0 +1,394 @@
+"""News of backends between two signalboxes and a junction: `telegraph.news.News`, `telegraph.members`,
+`roster.beats.Beats` and `roster.lives.Lives`, with answers that are late, lost or come twice, a cut between
+the signalboxes and its end, and restarts under the same address.
+
+One backend beats, drains and leaves at either signalbox, and an old beat of it may come late; another is
+forgotten, so that a holder who is behind wants a snapshot. A drain is acknowledged as in the product: once
+another voter's vector says that it holds it.
+"""
+
+from __future__ import annotations
+
+import pickle
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from meadowworks.check.model import Model, Property, Step
+from meadowworks.roster.beats import DRAINING, GONE, PREFIX, RANK, UP, Beats
+from meadowworks.roster.lives import QUIET, Lives
+from meadowworks.telegraph.members import Card, Members
+from meadowworks.telegraph.news import News, Piece
+
+BOXES, JUNCTION = (0, 1), 2
+X, Y = "x", "y"  # the backend that goes, and the one that is forgotten
+BEAT_MS = 1000
+ORDER = {UP: 0, QUIET: 0, DRAINING: 1, GONE: 2}
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """How often each may happen."""
+
+    name: str
+    drains: int = 0
+    leaves: int = 0
+    late: int = 0  # beats of before
+    silences: int = 0
+    restarts: int = 0
+    forgets: int = 0
+    slow: int = 0  # answers to pulls that come later, or twice
+    cuts: int = 0
+    pulls: int = 5
+
+
+class Node:
+    """One process: what it holds, and whom it knows."""
+
+    def __init__(self, host: int, life: int) -> None:
+        self.host, self.life = host, life
+        voting = host != JUNCTION
+        self.me = f"{host}.{life}"
+        self.news = News(self.me, 0)
+        self.lives = Lives(still, still)
+        self.news.listeners.append(self.lives.told)
+        self.beats = Beats(self.news.say, BEAT_MS)
+        self.members = Members(Card(self.me, f"h{host}", 1, "z", voting, self.me, 100 * life), 1)
+
+    def rank(self) -> int:
+        """How far it takes the backend to be gone; -1 if it has not heard of it. One of which no address is
+        known yet has a state all the same."""
+        known = self.lives.known.get(X)
+        state = known.state if known else self.lives.state(X) if X in self.lives.said else ""
+        return ORDER.get(state, -1)
+
+
+def still(*_: Any) -> int:
+    """No time goes by: no source falls silent."""
+    return 0
+
+
+class World:
+    def __init__(self, scene: Scene) -> None:
+        self.scene, self.left = scene, scene
+        self.did: list[tuple[Any, ...]] = []
+        self.nodes = [Node(host, 1) for host in (*BOXES, JUNCTION)]
+        self.calls, self.state = 1, UP
+        self.saved: list[dict[str, list[Any]]] = [{}, {}]
+        self.owed: tuple[int, int] | None = None  # the box that heard a drain or leave, and its news' version
+        self.acked: frozenset[int] = frozenset()  # boxes that must know of it since it was acknowledged
+        self.fresh: frozenset[int] = frozenset()  # boxes whose process began after it was told
+        self.cut = False
+        self.answer: tuple[int, tuple[Piece, ...], Card] | None = None  # on its way to a holder
+        for name in (X, Y) if scene.forgets else (X,):
+            self.nodes[0].beats.beat(0, name, self.beat(UP, 1))
+        self.keep(0)
+        for node in (1, JUNCTION):
+            self.pull(node, 0)
+
+    def beat(self, state: str, calls: int) -> dict[str, Any]:
+        details = {"svc": "s", "zone": "z", "capacity": 2, "ver": "v"}
+        status = {"state": state, "calls": calls, "warmupMs": 0}
+        return {"addr": "h:1", "details": details, "status": status}
+
+    def keep(self, box: int) -> None:
+        self.saved[box] = dict(self.nodes[box].beats.kept())
+
+    # -- steps
+
+    def enabled(self) -> Iterable[Step]:
+        left, found = self.left, list[Step]()
+        for box in BOXES:
+            if left.drains and self.state == UP:
+                found.append(("drain", box))
+            if left.leaves and self.state != GONE:
+                found.append(("leave", box))
+            if left.late:
+                found.append(("late", box))
+            if left.silences and X in self.nodes[box].beats.lives:
+                found.append(("silence", box))
+            if left.restarts:
+                found.append(("restart", box))
+        if left.forgets and Y in self.nodes[0].beats.lives:
+            found.append(("forget",))
+        if left.pulls:
+            for asker, holder in ((0, 1), (1, 0), (JUNCTION, 0), (JUNCTION, 1)):
+                if not (self.cut and JUNCTION not in (asker, holder)):
+                    found.append(("pull", asker, holder))
+                    if left.slow and not self.answer:
+                        found.append(("ask", asker, holder))
+        if self.answer:
+            found += [("come",), ("lost",)]
+        if self.owed and not self.acked and self.known(*self.owed):
+            found.append(("ack",))
+        if left.cuts or self.cut:
+            found.append(("cut",))
+        return found
+
+    def known(self, box: int, version: int) -> bool:
+        """As `signalbox.resources.Backends` asks it."""
+        return bool(self.nodes[box].news.holders(version) & {f"h{1 - box}"})
+
+    def spend(self, what: str) -> None:
+        self.left = replace(self.left, **{what: getattr(self.left, what) - 1})
+
+    def do(self, step: Step) -> None:
+        kind, *what = step
+        before = [(n.me, n.rank(), self.cards(n)) for n in self.nodes]
+        getattr(self, "do_" + kind)(*what)
+        self.did = []
+        for node, (me, rank, cards) in zip(self.nodes, before, strict=True):
+            if node.me == me:
+                self.did.append(("rank", rank, node.rank()))
+                now = self.cards(node)
+                self.did += [("card", beat, now.get(host, -1)) for host, beat in cards.items()]
+
+    def cards(self, node: Node) -> dict[str, int]:
+        return {host: known.card.beat for host, known in node.members.view.items()}
+
+    def do_drain(self, box: int) -> None:
+        self.spend("drains")
+        self.calls, self.state = self.calls + 1, DRAINING
+        taken = self.nodes[box].beats.beat(0, X, self.beat(DRAINING, self.calls))
+        self.owed, self.fresh = (box, getattr(taken, "version", 0)), frozenset()
+
+    def do_leave(self, box: int) -> None:
+        self.spend("leaves")
+        self.state = GONE
+        self.owed, self.acked = (box, self.nodes[box].beats.leave(0, X).version), frozenset()
+        self.fresh = frozenset()
+
+    def do_late(self, box: int) -> None:
+        """A beat from before comes now."""
+        self.spend("late")
+        self.nodes[box].beats.beat(0, X, self.beat(UP, 1))
+
+    def do_silence(self, box: int) -> None:
+        self.spend("silences")
+        beats = self.nodes[box].beats
+        beats.lives[X].heard_ns -= beats.quiet_ns + 1
+        beats.tick(0)
+
+    def do_restart(self, box: int) -> None:
+        """Its process alone: what it said is its last life's, what it kept is said again."""
+        self.spend("restarts")
+        node = self.nodes[box] = Node(box, self.nodes[box].life + 1)
+        node.beats.restore(0, self.saved[box])
+        self.acked -= {box}
+        self.fresh |= {box}
+        if self.owed and self.owed[0] == box:
+            self.owed = None
+
+    def do_forget(self) -> None:
+        self.spend("forgets")
+        del self.nodes[0].beats.lives[Y]
+        self.nodes[0].news.say(PREFIX + Y, None)
+
+    def pieces(self, asker: int, holder: int) -> tuple[tuple[Piece, ...], Card]:
+        one, other = self.nodes[asker], self.nodes[holder]
+        other.members.met(0, [one.members.me])
+        other.news.asked(f"h{asker}", one.news.vector())
+        return tuple(other.news.lacks(one.news.vector(), one.me)), other.members.me
+
+    def take(self, asker: int, pieces: tuple[Piece, ...], card: Card) -> None:
+        node = self.nodes[asker]
+        node.members.met(0, [card])
+        for piece in pieces:
+            node.news.take(0, Piece.unpack(piece.pack()))
+
+    def pull(self, asker: int, holder: int) -> None:
+        self.take(asker, *self.pieces(asker, holder))
+
+    def do_pull(self, asker: int, holder: int) -> None:
+        self.spend("pulls")
+        for node in self.nodes:
+            node.members.pulse()
+        self.pull(asker, holder)
+
+    def do_ask(self, asker: int, holder: int) -> None:
+        self.spend("slow")
+        self.answer = asker, *self.pieces(asker, holder)
+
+    def do_come(self) -> None:
+        """It comes, and may come once more: a peer that asked twice."""
+        assert self.answer is not None
+        self.take(*self.answer)
+        if not self.left.slow:
+            self.answer = None
+        else:
+            self.spend("slow")
+
+    def do_lost(self) -> None:
+        self.answer = None
+
+    def do_ack(self) -> None:
+        self.acked = frozenset(BOXES) - self.fresh
+
+    def do_cut(self) -> None:
+        if not self.cut:
+            self.spend("cuts")
+        self.cut = not self.cut
+
+    # -- states
+
+    def freeze(self) -> bytes:
+        did, self.did = self.did, []
+        try:
+            return pickle.dumps(self, pickle.HIGHEST_PROTOCOL)
+        finally:
+            self.did = did
+
+    def key(self) -> Any:
+        return (
+            repr(self.left),
+            self.calls,
+            self.state,
+            self.owed,
+            tuple(sorted(self.acked)),
+            tuple(sorted(self.fresh)),
+            self.cut,
+            repr(self.answer),
+            repr(self.saved),
+            tuple([self.facts(node) for node in self.nodes]),
+        )
+
+    def facts(self, node: Node) -> Any:
+        return (
+            node.me,
+            tuple(
+                [
+                    (name, s.top, s.floor, repr(sorted(s.entries.items())))
+                    for name, s in sorted(node.news.sources.items())
+                ]
+            ),
+            repr(sorted(node.news.held.items())),
+            repr(sorted((k, v.state) for k, v in node.lives.known.items())),
+            repr(sorted(node.beats.lives.items())),
+            tuple(sorted(self.cards(node).items())),
+        )
+
+
+def thaw(state: bytes) -> World:
+    world: World = pickle.loads(state)
+    return world
+
+
+def never_back(world: World) -> bool:
+    return all(after >= before for kind, before, after in world.did if kind == "rank" and before >= 1)
+
+
+def cards_rise(world: World) -> bool:
+    return all(after >= before for kind, before, after in world.did if kind == "card")
+
+
+def ack_kept(world: World) -> bool:
+    """Whoever was up since it was told knows it. A receipt given by a process that was killed a moment later
+    is not one by the next: that is told apart only once it speaks."""
+    return all(world.nodes[box].rank() >= 1 for box in world.acked)
+
+
+def copies_whole(world: World) -> bool:
+    """Who is at a source's newest version holds what it says, no more and no less."""
+    for holder in world.nodes:
+        for source in world.nodes:
+            mine = source.news.sources[source.me]
+            its = holder.news.sources.get(source.me)
+            if its is not None and its.top == mine.top and said(its) != said(mine):
+                return False
+    return True
+
+
+def said(source: Any) -> dict[str, Any]:
+    return {key: value for key, (_, value) in source.entries.items() if value is not None}
+
+
+def same_list(world: World) -> bool:
+    """Two that hold the same versions fold the same list."""
+    folds: dict[str, set[int]] = {}
+    for node in world.nodes:
+        vector = {name: top for name, top in node.news.own_vector().items() if top}
+        folds.setdefault(repr(sorted(vector.items())), set()).add(node.rank())
+    return all(len(ranks) == 1 for ranks in folds.values())
+
+
+def quiet_by_all(world: World) -> bool:
+    """Quiet only where nobody who knows the life says otherwise."""
+    for node in world.nodes:
+        if (known := node.lives.known.get(X)) and known.state == QUIET:
+            told = [s.entries[PREFIX + X][1] for s in node.news.sources.values() if PREFIX + X in s.entries]
+            if not all(value[7] for value in told if value is not None):
+                return False
+    return True
+
+
+def none_buried(world: World) -> bool:
+    """Gone is only who left; silence and a signalbox's end are no leave."""
+    return world.state == GONE or all(node.rank() < RANK[GONE] for node in world.nodes)
+
+
+def rank_of_beats(world: World) -> bool:
+    """A signalbox knows of a life that called it the furthest that it was told. One that left where nothing
+    was known of it has no address there yet."""
+    return all(
+        world.nodes[box].beats.lives[X].state in RANK and world.nodes[box].rank() >= RANK[life.state]
+        for box in BOXES
+        if (life := world.nodes[box].beats.lives.get(X)) is not None and X in world.nodes[box].lives.known
+    )
+
+
+PROPERTIES = (
+    Property(
+        "never back", "in no process does a life go from draining or gone back to up", never_back, "step"
+    ),
+    Property("cards rise", "a card is never replaced by an older one", cards_rise, "step"),
+    Property(
+        "acknowledged", "a drain that was acknowledged is known at each signalbox that was up since", ack_kept
+    ),
+    Property("copies whole", "who is at a source's newest version holds just what it says", copies_whole),
+    Property("same list", "who holds the same news folds the same list", same_list),
+    Property("quiet by all", "a life is quiet only where all that know it say so", quiet_by_all),
+    Property("none buried alive", "a backend is gone for a process only once it has left", none_buried),
+    Property("own words", "a signalbox's list is never behind what it was told itself", rank_of_beats),
+)
+
+
+def say(step: Step) -> str:
+    kind, *rest = step
+    names = ("signalbox 0", "signalbox 1", "the junction")
+    at = [names[k] for k in rest]
+    return {
+        "drain": "the backend drains, and says so at {0}",
+        "leave": "the backend leaves, and says so at {0}",
+        "late": "an old beat comes to {0}",
+        "silence": "{0} has not heard the backend for long",
+        "restart": "the process of {0} is killed and starts again",
+        "forget": "signalbox 0 forgets the other backend",
+        "pull": "{0} pulls from {1}",
+        "ask": "{0} asks {1}, whose answer is on its way",
+        "come": "that answer comes",
+        "lost": "that answer is lost, or was the last of it",
+        "ack": "the drain is acknowledged",
+        "cut": "the signalboxes are cut off from each other, or joined again",
+    }[kind].format(*at)
+
+
+def starts(large: bool) -> list[World]:
+    scenes = [
+        Scene("a drain, a late beat, a cut", drains=1, late=1, cuts=1, pulls=3),
+        Scene("a drain, a leave, a restart", drains=1, leaves=1, restarts=1, pulls=3),
+        Scene("forgotten while answers are slow", forgets=1, slow=2, pulls=2),
+        Scene("silent at one", silences=2, late=1, pulls=3),
+        Scene("a restart, slow answers", drains=1, restarts=1, slow=1, pulls=2),
+    ]
+    if large:
+        scenes += [
+            Scene("all of it", 1, 1, 1, 1, 1, 1, 1, 1, 4),
+            Scene("two restarts", drains=1, late=1, restarts=2, slow=2, pulls=4),
+        ]
+    return [World(scene) for scene in scenes]
+
+
+def model(large: bool) -> Model:
+    return Model(
+        "telegraph", "news of backends between controllers", lambda: starts(large), thaw, say, PROPERTIES
+    )
--- a/meadowworks/junction/forward.py
+++ b/meadowworks/junction/forward.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from meadowworks.attempts.again import DROPPED, UNRUN
-from meadowworks.carriage.journey import proof
+from meadowworks.carriage.answers import judge
 from meadowworks.carriage.yard import Yard
 from meadowworks.roster.lives import Backend
 from meadowworks.track.errors import NoAnswer
@@ -84,18 +84,6 @@
     return None
 
 
-def spoilt(request: Request, reply: Reply) -> str | None:
-    """Why an answer is not this request's own, whole one."""
-    told = reply.get(b"x-request-id")
-    if request.ident is not None and told != request.ident and (told is not None or reply.status < 300):
-        return "another request's answer"
-    if 200 <= reply.status < 300 and reply.get(b"x-backend-seal") is None:
-        return "a success without a seal"
-    if reply.get(b"content-encoding") not in (None, b"identity"):
-        return "an encoded body"
-    return None
-
-
 async def attempt(yard: Yard[Line], backend: Backend, request: Request, limit_ns: int) -> Tried:
     """Never raises but for a cancel; the line is kept or ended."""
     start = now_ns()
@@ -119,17 +107,14 @@
         load = load_of(reply)
         if load is not None:
             yard.told(now, backend.ident, *load)
-        not_run = reply.get(b"x-not-run") is not None
-        if spoilt(request, reply):
-            # Guards against a late answer to an earlier request in this one's place, which would be taken
-            # for this one's: as its success, or as proof that it did not run.
-            line.close()
-            return Tried(DROPPED, None, now - start)
-        if reply.status == 421:
+        found = judge(request.ident, backend.ident.encode(), reply.status, reply.get)
+        if found.keep:
+            yard.keep(now, backend.ident, line, kept_s(reply))
+        else:
             line.close()
-            return Tried(UNRUN, reply, now - start, over=reply.get(b"x-backend-id") != backend.ident.encode())
-        yard.keep(now, backend.ident, line, kept_s(reply))
-        return Tried(proof(reply.status, not_run), reply, now - start, load=load)
+        if not found.sound:
+            return Tried(found.state, None, now - start)
+        return Tried(found.state, reply, now - start, found.over, load if found.keep else None)
     except NoAnswer as trouble:
         if line is not None:
             line.close()
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -22,7 +22,6 @@
 from meadowworks.points.figures import PREFIX as FIGURES
 from meadowworks.points.figures import Sums
 from meadowworks.points.service import Met, Service
-from meadowworks.roster.beats import DRAINING, GONE
 from meadowworks.roster.lives import Backend, Lives
 from meadowworks.telegraph import post
 from meadowworks.telegraph.members import Card, Members
@@ -334,7 +333,7 @@
             for place, weight in lines.items():
                 ident = names[place]
                 known = self.lives.known.get(ident)
-                if known is None or known.state in (DRAINING, GONE):
+                if known is None or not known.takes:
                     continue  # the table is a moment behind the list
                 home = known.zone == self.boot.zone
                 if lines is service.lines:
--- a/meadowworks/roster/lives.py
+++ b/meadowworks/roster/lives.py
@@ -43,6 +43,11 @@
     since_ns: int  # when it was first heard of here
     warm_ns: int
 
+    @property
+    def takes(self) -> bool:
+        """Whether a request may go there. One that is quiet may be there all the same."""
+        return self.state not in (DRAINING, GONE)
+
 
 class Lives:
     """`alive` tells for how long a source has been silent. `changed` holds the ids whose fold has changed
--- a/meadowworks/telegraph/news.py
+++ b/meadowworks/telegraph/news.py
@@ -34,10 +34,10 @@
         self.order[version] = key
         self.top = max(self.top, version)
 
-    def forget(self) -> None:
-        """Drops the oldest keys taken back beyond TOMBS."""
+    def forget(self, most: int) -> None:
+        """Drops the oldest keys taken back, beyond so many."""
         tombs = [(v, k) for v, k in self.order.items() if self.entries[k][1] is None]
-        for version, key in tombs[: max(0, len(tombs) - TOMBS)]:
+        for version, key in tombs[: max(0, len(tombs) - most)]:
             del self.order[version], self.entries[key]
             self.floor = max(self.floor, version)
 
@@ -75,8 +75,8 @@
 class News:
     """Everything that a process has been told, and says itself under `me`."""
 
-    def __init__(self, me: str) -> None:
-        self.me = me
+    def __init__(self, me: str, tombs: int = TOMBS) -> None:
+        self.me, self.tombs = me, tombs
         self.sources: dict[str, Source] = {me: Source()}
         self.listeners: list[Callable[[Told], None]] = []
         self.held: dict[str, Mapping[str, int]] = {}  # by peer: the vector that it last asked with
@@ -86,7 +86,7 @@
         mine = self.sources[self.me]
         mine.put(mine.top + 1, key, value)
         if value is None:
-            mine.forget()
+            mine.forget(self.tombs)
         self.tell(Told(self.me, key, value))
         return mine.top
 
--- a/tests/gateway/test_carriage.py
+++ b/tests/gateway/test_carriage.py
@@ -10,9 +10,10 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from meadowworks.attempts.again import ANSWERED, DROPPED, UNRUN
+from meadowworks.carriage.answers import proof
 from meadowworks.carriage.budget import Budget
 from meadowworks.carriage.choice import reach
-from meadowworks.carriage.journey import Forward, Journey, Refuse, Send, Wait, policy, proof, way
+from meadowworks.carriage.journey import Forward, Journey, Refuse, Send, Wait, policy, way
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt, on_headers
 from meadowworks.track.line import Line
