--- a/meadowworks/check/faults.py
+++ b/meadowworks/check/faults.py
@@ -1013,6 +1013,20 @@
                 "rank = RANK[list(sources.values())[-1].state]",
                 ("never back", "acknowledged", "same list", "own words"),
             ),
+            (
+                "a signalbox's first word of a life stands",
+                "meadowworks.roster.lives:Lives.told",
+                "sources[event.source] = said",
+                "sources.setdefault(event.source, said)",
+                ("own words",),
+            ),
+            (
+                "a change is held and not folded",
+                NEWS + "News.take",
+                "if old is None or old[1] != value:",
+                "if old is None:",
+                ("same list",),
+            ),
             (
                 "one that calls a life quiet is enough",
                 "meadowworks.roster.lives:Lives.state",
