Bodies, connections and garbage behind a request are bounded; the word why

Cause: a fuzz of the door by hypothesis found that garbage behind a whole request was told 400 at once, which its client took for the first request's answer, though that one ran. Bodies of all clients had no common bound (five of 64 MB end a junction), a body that stopped coming held its connection for ever, and connections had no bound below maxFds. Change: whole requests at work are answered, then the connection ends, without a word on what came behind; carriage/room.py bounds bodies to a quarter of the memory; a body in parts has its client's deadline; node/crowd.py bounds clients to six tenths of the descriptors, the longest idle gives way. meadowworks why SERVICE prints what the last decisions rest on.

--- a/meadowworks/carriage/budget.py
+++ b/meadowworks/carriage/budget.py
@@ -25,10 +25,15 @@
 
     def take(self, now: int) -> bool:
         """Whether a further try may be sent; it is counted if so."""
-        for seen in (self.came, self.again):
-            while seen and seen[0] <= now - self.window_ns:
-                seen.popleft()
-        if len(self.again) + 1 > self.ratio * len(self.came) + ALLOWANCE:
+        again, came = self.window(now)
+        if again + 1 > self.ratio * came + ALLOWANCE:
             return False
         self.again.append(now)
         return True
+
+    def window(self, now: int) -> tuple[int, int]:
+        """Further tries and requests in the window that ends now."""
+        for seen in (self.came, self.again):
+            while seen and seen[0] <= now - self.window_ns:
+                seen.popleft()
+        return len(self.again), len(self.came)
--- a/meadowworks/commands.py
+++ b/meadowworks/commands.py
@@ -11,6 +11,7 @@
     "check": ("meadowworks.check.commands", "check", "explore the machines whole in small worlds"),
     "local": ("meadowworks.local.commands", "local", "start a small gateway on this machine, to try it"),
     "status": ("meadowworks.operate.commands", "status", "what a controller of the gateway knows"),
+    "why": ("meadowworks.operate.commands", "why", "what a junction's last decisions on a service rest on"),
     "nodes": ("meadowworks.operate.commands", "nodes", "the controllers that a signalbox knows"),
     "backends": ("meadowworks.operate.commands", "backends", "the backends that a controller knows"),
     "config": ("meadowworks.operate.commands", "config", "check, put, get or diff a configuration"),
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -16,6 +16,7 @@
 from meadowworks.carriage.budget import Budget
 from meadowworks.carriage.choice import reach
 from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
+from meadowworks.carriage.room import Room
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt, back_headers, on_headers
 from meadowworks.junction.upstream import Upstream
@@ -30,7 +31,7 @@
 from meadowworks.timetable.routes import load as load_table
 from meadowworks.track import logs
 from meadowworks.track.boot import Boot, load
-from meadowworks.track.door import Door, answer, whole_body
+from meadowworks.track.door import Cut, Door, answer, whole_body
 from meadowworks.track.errors import BadSettings, NoAnswer
 from meadowworks.track.line import Line, Reply
 from meadowworks.track.peer import Peer
@@ -40,6 +41,8 @@
 PULL_MS, PULL_S = 1000, 1.6
 POLLS_S = 2.3  # that connections may still come for after readyz says no: two polls a second apart
 TICK_S = 0.25  # the controllers' own turns come every half second
+BODY_S = 30.0  # that a body in parts may take, if its client names no time
+BODIES, CLIENTS = 0.25, 0.6  # parts: of memory that bodies may take, of descriptors that clients may
 SUMMARY_S = 10.0  # between the log's lines of counters
 SETTLE_NS = 3 * SECOND  # that a first list is waited for until every service has a backend
 log = logs.part("junction")
@@ -66,7 +69,9 @@
         self.random = random.Random()
         self.counts: dict[str, int] = {}
         self.tasks = Tasks()
-        self.door, self.polls, self.inner = Door(self.app), Door(self.readyz), Door(self.asked)
+        self.room = Room(int(boot.mem_mb * 1e6 * BODIES))
+        self.door = Door(self.app, most=int(boot.max_fds * CLIENTS))
+        self.polls, self.inner = Door(self.readyz), Door(self.asked)
 
     # -- what is known
 
@@ -201,6 +206,8 @@
 
     def summary(self) -> None:
         log.info("answers {}, {} at work", self.counts, self.door.at_work())
+        windows = {name: budget.window(now_ns()) for name, budget in self.budgets.items()}
+        log.info("further tries of requests in the window: {}", windows)
 
     def half(self) -> None:
         now = now_ns()
@@ -225,9 +232,14 @@
                 ident = value
             elif name == b"x-deadline-ms":
                 deadline = value
-        body = await whole_body(receive, table.body_bytes)
-        if body is None:
-            return await answer(send, 413, b'{"err":"the body is too large"}')
+        within_s = min(BODY_S, milliseconds(deadline, BODY_S * 1000) / 1000)
+        body = await whole_body(receive, table.body_bytes, self.room, within_s)
+        if isinstance(body, Cut):
+            self.count(f"bodies {body.name.lower()}")
+            if body is Cut.FULL:
+                return await self.refused(send, Refuse(503, SECOND))
+            status = 413 if body is Cut.LARGE else 408
+            return await answer(send, status, json.dumps({"err": f"the body is {body.value}"}).encode())
         target: bytes = scope["target"]
         route = table.find(host, target.partition(b"?")[0].decode("latin-1"))
         if route is None and not self.sure_ns:
@@ -377,8 +389,8 @@
             "answers": self.counts,
             "services": {
                 name: {
-                    "level": s.level,
-                    "table": {s.places.names[p]: round(w, 3) for p, w in s.lines.items()},
+                    **s.why(now_ns()),
+                    "further tries": self.budgets[name].window(now_ns()) if name in self.budgets else [0, 0],
                 }
                 for name, s in self.services.items()
             },
--- a/meadowworks/local/backend.py
+++ b/meadowworks/local/backend.py
@@ -54,7 +54,7 @@
             self.running -= 1
         told = [
             (b"x-request-id", ident),
-            (b"x-backend-seal", f"{self.ident}.{len(body or b'')}".encode()),
+            (b"x-backend-seal", f"{self.ident}.{len(body) if isinstance(body, bytes) else 0}".encode()),
             (b"x-backend-load", f"{self.running},0,{self.capacity}".encode()),
         ]
         await answer(send, 200, f"{self.ident} has answered {scope['target'].decode()}\n".encode(), told)
--- a/meadowworks/node/crowd.py
+++ b/meadowworks/node/crowd.py
@@ -26,6 +26,10 @@
         """It has a name, or is on its way out."""
         self.strangers.pop(who, None)
 
+    def idle(self, now: int, who: W) -> None:
+        """It may be sent away again."""
+        self.strangers[who] = now
+
     def gone(self, who: W) -> None:
         self.open -= 1
         self.strangers.pop(who, None)
--- a/meadowworks/operate/commands.py
+++ b/meadowworks/operate/commands.py
@@ -74,12 +74,57 @@
     if as_json:
         print(json.dumps({field: [dict(zip(names, row, strict=True)) for row in rows]}))
         return 0
-    widths = [max(map(len, map(str, column))) for column in zip(names, *rows, strict=True)]
-    for row in (names, *rows):
-        print("  ".join(str(cell).ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+    lay([[str(cell) for cell in row] for row in (names, *rows)])
     return 0
 
 
+def why(
+    service: Annotated[str, Arg(help="a service of the configuration")],
+    at: Annotated[str, Arg(help="a junction's inner address")],
+    as_json: Annotated[bool, Arg(long="--json", help="one JSON object on standard output")] = False,
+) -> int:
+    """What a junction's last decisions on a service rest on: views, level, table, and who is held back."""
+    reply = call(at, b"GET", b"/status")
+    found = json.loads(reply.body).get("services") if reply.status == 200 else None
+    if found is None:
+        raise Bad(f"{at} tells of no services: is that a junction's inner address?")
+    if service not in found:
+        raise Bad(f"{at} knows no service {service!r}: there are {', '.join(found) or 'none yet'}")
+    told = found[service]
+    if as_json:
+        print(json.dumps({"service": service, **told}))
+        return 0
+    again, came = told["further tries"]
+    print(
+        f"{service}: level {told['level']:g}, {told['asked']:g} calls a second asked, "
+        f"{told['proven']:g} proven; {again} further tries beside {came} requests in the window"
+        + ("" if told["further tries allowed"] else "; no further tries now: a zone is jammed")
+    )
+    rows = [["zone", "view", "asked", "keeps", "waiting", "jammed", "calm", "figures_s"]]
+    rows += [[zone, *[str(facts[name]) for name in rows[0][1:]]] for zone, facts in told["zones"].items()]
+    lay(rows)
+    rows = [["backend", "weight", "in", "held back"]]
+    for field, where in (("table", "own table"), ("abroad", "other zones")):
+        for ident, weight in told[field].items():
+            held = told["held back"].get(ident, {})
+            said = [f"rung {held['rung']}"] * bool(held.get("rung")) + [f"part {held['part']:g}"] * (
+                held.get("part", 1) < 1
+            )
+            rows.append([ident, f"{weight:g}", where, ", ".join(said)])
+    for ident, held in told["held back"].items():
+        if not held["ready"]:
+            rows.append([ident, "0", "no table", "not ready"])
+    lay(rows)
+    return 0
+
+
+def lay(rows: list[list[str]]) -> None:
+    """Rows in columns; the first one names them."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+
+
 def nodes(
     at: Annotated[str, Arg(help="a signalbox's inner address")],
     as_json: Annotated[bool, Arg(long="--json", help="one JSON object on standard output")] = False,
--- a/meadowworks/points/service.py
+++ b/meadowworks/points/service.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from typing import Any
 
 from meadowworks.door import Names
 from meadowworks.host import Entry, Route, Settings
@@ -196,6 +197,35 @@
     def late(self, now: int, zone: int) -> bool:
         return now - self.heard_ns.get(zone, 0) > LATE_NS
 
+    def why(self, now: int) -> dict[str, Any]:
+        """What the last decisions rest on: calls a second, the parts of weights, and rungs of suspects."""
+        c = self.controller
+        return {
+            "level": self.level,
+            "further tries allowed": bool(self.retry),
+            "asked": round(c.asking, 2),
+            "proven": round(c.proven, 2),
+            "zones": {
+                zone: {
+                    "view": round(view.calls, 2),
+                    "asked": round(view.asked, 2),
+                    "keeps": round(view.keep, 3),
+                    "waiting": round(view.crowd, 2),
+                    "jammed": view.jam,
+                    "calm": view.calm,
+                    "figures_s": round((now - self.heard_ns[k]) / SECOND, 1) if k in self.heard_ns else None,
+                }
+                for (zone, k), view in zip(self.zones.items(), c.views, strict=True)
+            },
+            "table": {self.places.names[p]: round(w, 3) for p, w in sorted(self.lines.items())},
+            "abroad": {self.places.names[p]: round(w, 3) for p, w in sorted(self.abroad.items())},
+            "held back": {
+                self.places.names[p]: {"rung": b.rung, "part": round(c.part(now, b), 3), "ready": b.ready}
+                for p, b in c.backends.items()
+                if p in self.places.names and (b.rung or not b.ready or c.part(now, b) < 1)
+            },
+        }
+
     def tick(self, now: int) -> None:
         if now >= self.wake_ns:
             self.wake_ns = max(self.wake_ns, now - REPORT_NS)
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -26,7 +26,7 @@
 from meadowworks.timetable.register import Held
 from meadowworks.track import logs
 from meadowworks.track.boot import Boot, load
-from meadowworks.track.door import Door, Limits, answer, whole_body
+from meadowworks.track.door import Cut, Door, Limits, answer, whole_body
 from meadowworks.track.errors import BadSettings, NoAnswer
 from meadowworks.track.peer import Peer
 from meadowworks.track.program import Tasks, now_ns, run
@@ -105,7 +105,7 @@
 
     async def inner(self, scope: Any, receive: Any, send: Any) -> None:
         body = await whole_body(receive, BODY_MOST)
-        if body is None:
+        if isinstance(body, Cut):
             return await answer(send, 413)
         try:
             match scope["path"]:
@@ -266,8 +266,8 @@
 
     async def ctl(self, scope: Any, receive: Any, send: Any) -> None:
         body = await whole_body(receive, BODY_MOST)
-        if body is None:
-            return await answer(send, 413)
+        if isinstance(body, Cut):
+            return await answer(send, 413 if body is Cut.LARGE else 408)
         name, _, ident = scope["path"].removeprefix("/api/").partition("/")
         act = self.routes.get((scope["method"], name))
         if act is None or not scope["path"].startswith("/api/"):
--- a/meadowworks/track/door.py
+++ b/meadowworks/track/door.py
@@ -7,13 +7,17 @@
 import socket
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass, field
-from typing import Any
+from enum import Enum
+from typing import Any, Protocol
 
 from uvicorn.config import Config
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from meadowworks.node.crowd import Crowd
+
 Scope = MutableMapping[str, Any]
+GRACE_NS = 1_000_000_000  # that a connection is left alone, so that what it sends has time to arrive
 App = Callable[[Scope, Callable[[], Awaitable[Any]], Callable[[Any], Awaitable[None]]], Awaitable[None]]
 
 
@@ -26,10 +30,27 @@
     idle_s: float = 15.0
 
 
+class Cut(Enum):
+    """Why there is no whole body."""
+
+    LARGE = "larger than may be"
+    FULL = "no room for it beside the others"
+    SLOW = "not there in time"
+    GONE = "its sender has gone"
+
+
+class Room(Protocol):
+    def take(self, size: int) -> bool: ...
+    def give(self, size: int) -> None: ...
+
+
 @dataclass(slots=True)
 class State:
+    """`crowd`: connections are bounded, and who is idle gives way when there are too many."""
+
     limits: Limits = field(default_factory=Limits)
     leaving: bool = False
+    crowd: Crowd[Caller] | None = None
 
 
 class Caller(HttpToolsProtocol):
@@ -41,16 +62,33 @@
         self.slow: asyncio.TimerHandle | None = None
         self.counted = 0
         self.reading = False  # whether the headers of a request are on their way
+        self.taking = False  # whether its body is
+        self.broken = False  # what comes now is read no more
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
         self.timeout_keep_alive = self.state.limits.idle_s  # type: ignore[assignment]
         self.slow = self.loop.call_later(self.state.limits.idle_s, self.too_slow)
+        if crowd := self.state.crowd:
+            crowd.come(self.now(), self)
+            if crowd.open > crowd.most:
+                who, _ = crowd.gives_way(self.now())
+                (who or self).transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.calm()
+        if self.state.crowd:
+            self.state.crowd.gone(self)
         super().connection_lost(exc)
 
+    def now(self) -> int:
+        return int(self.loop.time() * 1e9)
+
+    def on_response_complete(self) -> None:
+        super().on_response_complete()
+        if self.state.crowd and not self.transport.is_closing() and self.cycle.response_complete:
+            self.state.crowd.idle(self.now(), self)
+
     def calm(self) -> None:
         if self.slow is not None:
             self.slow.cancel()
@@ -61,19 +99,28 @@
             self.transport.close()
 
     def on_message_begin(self) -> None:
+        if self.broken:
+            return
         super().on_message_begin()
         self.counted, self.reading = 0, True
         self.calm()
         self.slow = self.loop.call_later(self.state.limits.header_s, self.too_slow)
 
     def data_received(self, data: bytes) -> None:
+        if self.broken:
+            return
         super().data_received(data)
         self.counted += len(data)
+        if self.taking:  # guards against a body that stops coming
+            self.calm()
+            self.slow = self.loop.call_later(self.state.limits.idle_s, self.too_slow)
         if self.reading and self.counted > self.state.limits.header_bytes and not self.transport.is_closing():
             self.turn_away(431, "headers too large")
 
     def on_headers_complete(self) -> None:
-        self.reading = False
+        if self.broken:
+            return
+        self.reading, self.taking = False, True
         self.calm()
         size = sum(len(name) + len(value) + 4 for name, value in self.headers) + len(self.url)
         if size > self.state.limits.header_bytes:
@@ -89,14 +136,38 @@
             self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
-        if not self.transport.is_closing():
+        if not self.transport.is_closing() and not self.broken:
             super().on_body(body)
 
     def on_message_complete(self) -> None:
+        if self.broken:
+            return
+        self.taking = False
+        self.calm()
+        if self.state.crowd:
+            self.state.crowd.named(self)
         if not self.transport.is_closing():
             super().on_message_complete()
 
+    def ends_after_work(self) -> bool:
+        """Whether whole requests are at work: then the connection ends after their answers. Guards against
+        an answer to what came behind them, which their client would take for theirs."""
+        if self.cycle is None or self.cycle.response_complete or self.cycle.more_body:
+            return False
+        self.broken = True
+        self.calm()
+        while self.pipeline and self.pipeline[0][0].more_body:
+            self.pipeline.popleft()
+        (self.pipeline[0][0] if self.pipeline else self.cycle).keep_alive = False
+        return True
+
+    def send_400_response(self, msg: str) -> None:
+        if not self.ends_after_work():
+            super().send_400_response(msg)
+
     def turn_away(self, status: int, why: str) -> None:
+        if self.ends_after_work():
+            return
         self.transport.write(
             f"HTTP/1.1 {status} Refused\r\ncontent-type: text/plain\r\nconnection: close\r\n"
             f"content-length: {len(why)}\r\n\r\n{why}".encode()
@@ -107,8 +178,9 @@
 class Door:
     """An address that is listened at, and its connections."""
 
-    def __init__(self, app: App, limits: Limits | None = None) -> None:
-        self.state = State(limits or Limits())
+    def __init__(self, app: App, limits: Limits | None = None, most: int = 0) -> None:
+        """`most` connections, if it is not 0."""
+        self.state = State(limits or Limits(), crowd=Crowd(most, GRACE_NS) if most else None)
         self.config = Config(
             app=app,
             http="httptools",
@@ -163,20 +235,37 @@
                 caller.shutdown()
 
 
-async def whole_body(receive: Callable[[], Awaitable[Any]], most: int) -> bytes | None:
-    """The body of a request; nothing if it is larger, or its sender has gone."""
+async def whole_body(
+    receive: Callable[[], Awaitable[Any]], most: int, room: Room | None = None, within_s: float = 30.0
+) -> bytes | Cut:
+    """The body of a request, of `most` bytes at most. One that comes in parts takes room until it is whole,
+    and has so many seconds for that."""
     message = await receive()
     body: bytes = message.get("body", b"")
     if message["type"] == "http.request" and not message.get("more_body") and len(body) <= most:
         return body
     parts, size = [body], len(body)
-    while message["type"] == "http.request" and message.get("more_body"):
-        message = await receive()
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > most:
-            return None
-    return b"".join(parts) if message["type"] == "http.request" and size <= most else None
+    taken = 0
+    try:
+        async with asyncio.timeout(within_s):
+            while message["type"] == "http.request" and message.get("more_body"):
+                message = await receive()
+                parts.append(message.get("body", b""))
+                size += len(parts[-1])
+                if size > most:
+                    return Cut.LARGE
+                if room is not None:
+                    if not room.take(len(parts[-1])):
+                        return Cut.FULL
+                    taken += len(parts[-1])
+    except TimeoutError:
+        return Cut.SLOW
+    finally:
+        if room is not None:
+            room.give(taken)
+    if message["type"] != "http.request":
+        return Cut.GONE
+    return b"".join(parts) if size <= most else Cut.LARGE
 
 
 async def answer(
