--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -23,6 +23,7 @@
 from meadowworks.points.figures import PREFIX as FIGURES
 from meadowworks.points.figures import Sums
 from meadowworks.points.service import Met, Service
+from meadowworks.roster.beats import DRAINING
 from meadowworks.roster.lives import Backend, Lives
 from meadowworks.telegraph import post
 from meadowworks.telegraph.members import Card, Members
@@ -128,6 +129,9 @@
         """Hands lives that have changed to their services' controllers."""
         if not self.lives.changed:
             return
+        for ident in self.lives.changed:
+            if (known := self.lives.known.get(ident)) and known.state == DRAINING:
+                log.info("{} drains", ident)
         self.lives.changed.clear()
         listing, now = self.lives.listing(), now_ns()
         for name, service in self.services.items():
--- a/meadowworks/operate/commands.py
+++ b/meadowworks/operate/commands.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -43,12 +44,18 @@
 def status(
     at: Annotated[str, Arg(help="a controller's inner address: ip and the first port of portRange")],
     as_json: Annotated[bool, Arg(long="--json", help="one JSON object on standard output")] = False,
+    everyone: Annotated[
+        bool, Arg(long="--all", help="a row for each controller that this signalbox knows")
+    ] = False,
 ) -> int:
-    """What a junction or a signalbox knows: its version, members, backends and, of a junction, its tables."""
+    """What a junction or a signalbox knows: its version, members, backends and, of a junction, its tables.
+    With --all, side by side, what each controller holds; status 1 if one is silent or behind."""
     reply = call(at, b"GET", b"/status")
     if reply.status != 200:
         raise Bad(f"{at} says {reply.status}: is that a controller's inner address?")
     found: dict[str, Any] = json.loads(reply.body)
+    if everyone:
+        return whole_system(at, found, as_json)
     if as_json:
         print(json.dumps(found))
         return 0
@@ -62,6 +69,58 @@
     return 0
 
 
+def whole_system(at: str, own: dict[str, Any], as_json: bool) -> int:
+    """A signalbox's view is partial: beyond sixteen controllers it names the voters and some of the rest."""
+    if "members" not in own:
+        raise Bad(f"{at} tells of no members: is that a signalbox's inner address?")
+    port = at.rpartition(":")[2]
+
+    def one(member: list[Any]) -> dict[str, Any] | None:
+        try:
+            reply = call(f"{member[1]}:{port}", b"GET", b"/status")
+        except Bad:
+            return None
+        return json.loads(reply.body) if reply.status == 200 else None
+
+    with ThreadPoolExecutor(8) as pool:
+        rows = [row(own["node"], own)] + [
+            row(member[0], told)
+            for member, told in zip(own["members"], pool.map(one, own["members"]), strict=True)
+        ]
+    versions = {r["version"] for r in rows}
+    if as_json:
+        print(json.dumps({"controllers": rows}))
+    else:
+        lay([list(rows[0]), *[[str(cell) for cell in r.values()] for r in rows]])
+    return 0 if len(versions) == 1 and all(r["well"] == "yes" for r in rows) else 1
+
+
+def row(node: str, told: dict[str, Any] | None) -> dict[str, Any]:
+    """One controller: a signalbox is well if it is sure and sound, a junction if it is ready."""
+    if told is None:
+        return {
+            "node": node,
+            "kind": "-",
+            "version": "-",
+            "well": "silent",
+            "undecided": "-",
+            "draining": "-",
+            "levels": "-",
+        }
+    box = "sure" in told
+    well = told["sure"] and told["sound"] if box else told["ready"]
+    levels = [f"{name} {facts['level']:g}" for name, facts in told.get("services", {}).items()]
+    return {
+        "node": told["node"],
+        "kind": "signalbox" if box else "junction",
+        "version": told["version"],
+        "well": "yes" if well else "no",
+        "undecided": " ".join(told.get("undecided", [])) or "-",
+        "draining": sum(backend[3] == "draining" for backend in told["backends"].values()),
+        "levels": ", ".join(levels) or "-",
+    }
+
+
 def table(at: str, field: str, names: tuple[str, ...], as_json: bool) -> int:
     """One field of a controller's status as rows, or as JSON."""
     reply = call(at, b"GET", b"/status")
@@ -97,7 +156,7 @@
     again, came = told["further tries"]
     print(
         f"{service}: level {told['level']:g}, {told['asked']:g} calls a second asked, "
-        f"{told['proven']:g} proven; {again} further tries beside {came} requests in the window"
+        f"{told['proven'] + 0:g} proven; {again} further tries beside {came} requests in the window"
         + ("" if told["further tries allowed"] else "; no further tries now: a zone is jammed")
     )
     rows = [["zone", "view", "asked", "keeps", "waiting", "jammed", "calm", "figures_s"]]
@@ -107,9 +166,11 @@
     for field, where in (("table", "own table"), ("abroad", "other zones")):
         for ident, weight in told[field].items():
             held = told["held back"].get(ident, {})
-            said = [f"rung {held['rung']}"] * bool(held.get("rung")) + [f"part {held['part']:g}"] * (
-                held.get("part", 1) < 1
-            )
+            said = []
+            if held.get("rung"):
+                said.append(f"rung {held['rung']}")
+            if held.get("part", 1) < 1:
+                said.append(f"part {held['part']:g}")
             rows.append([ident, f"{weight:g}", where, ", ".join(said)])
     for ident, held in told["held back"].items():
         if not held["ready"]:
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -147,6 +147,9 @@
         held = self.office.box.held
         table = (held.version, held.content) if held.version > pull.table else None
         cards = tuple(self.members.swap()[1:]) if pull.cards else ()
+        known = self.members.view.get(pull.me.host)
+        if known is not None and known.card.beat > pull.me.beat:
+            cards = (*cards, known.card)  # its last life's: it will raise its own above that
         return post.News(self.members.me, cards, tuple(pieces), self.sure(), table).pack()
 
     def urgent(self, pieces: list[Piece], pull: post.Pull) -> bool:
--- a/meadowworks/signalbox/resources.py
+++ b/meadowworks/signalbox/resources.py
@@ -44,6 +44,7 @@
         self.beats, self.news, self.members, self.others = beats, news, members, others
         self.near = near
         self.moved: set[asyncio.Future[None]] = set()
+        self.acked: set[str] = set()  # lives whose drain was acknowledged here
 
     def heard(self) -> None:
         """A peer has asked for news: what it holds may have risen."""
@@ -79,6 +80,9 @@
             return error(400, found.why)
         if found.version and not await self.kept(found.version):
             return error(503, "too few controllers know of it yet", 0.2)
+        if found.version and ident not in self.acked:
+            self.acked = {one for one in self.acked if one in self.beats.lives} | {ident}
+            log.info("{} drains, and others know", ident)
         at = self.near(ident)
         return Answer(200, json.dumps({"beatUrl": at}).encode()) if at else Answer(200)
 
--- a/meadowworks/telegraph/members.py
+++ b/meadowworks/telegraph/members.py
@@ -66,6 +66,10 @@
         """Takes cards in: a newer one of a controller replaces the older."""
         for card in cards:
             if card.host == self.me.host and card.port == self.me.port:
+                # Guards against a clock that was set back before this life began: a card of the last one
+                # would stand for this controller until its count is passed.
+                if card.life != self.me.life and card.beat >= self.me.beat:
+                    self.me = replace(self.me, beat=card.beat + 1)
                 continue
             old = self.view.get(card.host)
             if old is None or card.beat > old.card.beat:
--- a/tests/gateway/features/fleet.feature
+++ b/tests/gateway/features/fleet.feature
@@ -18,6 +18,12 @@
     When a junction is told to end with a request at work
     Then that request is answered, whole, and its connection ends
 
+  Scenario: An operator asks what is going on
+    Given a gateway whose backends beat
+    When version 1 is sent to the first signalbox
+    Then the words tell of nodes, backends and reasons, in columns and as one object
+    And what makes no sense is one line and status 2
+
   Scenario: An address that is someone else's now
     Given a gateway whose backends beat
     When version 1 is sent to the first signalbox
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -14,6 +14,7 @@
 import pytest
 from pytest_bdd import given, scenarios, then, when
 
+from meadowworks import commands
 from meadowworks.junction.program import Junction
 from meadowworks.local.backend import Backend
 from meadowworks.local.system import Plan, configuration, free_ports
@@ -288,6 +289,43 @@
     assert node.table.version == 7 and node.table.find("local.example", "/new/a") is None
 
 
+@then("the words tell of nodes, backends and reasons, in columns and as one object")
+def words(fleet: Fleet, capsys: pytest.CaptureFixture[str]) -> None:
+    box, junction = (f"{fleet.plan.host(k)}:{fleet.plan.ports.inner}" for k in (0, 3))
+
+    def said(*line: str) -> str:
+        assert fleet.run(asyncio.to_thread(commands.main, line)) == 0
+        return capsys.readouterr().out
+
+    assert {node["votes"] for node in json.loads(said("nodes", box, "--json"))["members"]} >= {True}
+    rows = said("backends", junction).splitlines()
+    assert rows[0].split() == ["id", "service", "address", "zone", "state"] and len(rows) == 5
+    fleet.nodes[3].services["lookup"].controller.backends[0].rung = 2
+    told = json.loads(said("why", "lookup", junction, "--json"))
+    assert told["service"] == "lookup" and told["level"] == 1.0 and set(told["zones"]) == {"north", "south"}
+    assert set(told["table"]) | set(told["abroad"]) == {"b0", "b1"}
+    assert "rung " in said("why", "lookup", junction)
+    whole = json.loads(said("status", box, "--all", "--json"))["controllers"]
+    assert sorted(c["kind"] for c in whole) == ["junction"] * 2 + ["signalbox"] * 3
+    assert {(c["version"], c["well"]) for c in whole} == {("00000001", "yes")}
+    assert said("status", box, "--all").splitlines()[0].split()[:4] == ["node", "kind", "version", "well"]
+
+
+@then("what makes no sense is one line and status 2")
+def no_sense(fleet: Fleet, capsys: pytest.CaptureFixture[str]) -> None:
+    box, junction = (f"{fleet.plan.host(k)}:{fleet.plan.ports.inner}" for k in (0, 3))
+    for line, why in (
+        (("why", "lookup", box), "tells of no services"),
+        (("why", "nobody", junction), "knows no service 'nobody'"),
+        (("why", "lookup", "nowhere"), "no address"),
+        (("nodes", junction), "tells of no members"),
+        (("status", junction, "--all"), "tells of no members"),
+    ):
+        assert fleet.run(asyncio.to_thread(commands.main, line)) == 2
+        out, err = capsys.readouterr()
+        assert not out and err.count("\n") == 1 and why in err
+
+
 @when("a backend ends and its address goes to another service")
 def reused(fleet: Fleet) -> None:
     async def whole() -> None:
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -189,6 +189,19 @@
     assert garbled > 60
 
 
+def test_a_controller_whose_clock_was_set_back_before_its_start_is_known_by_its_new_life() -> None:
+    old, new = (Card("n0", "10.0.0.0", 7000, "z", True, life, beat) for life, beat in (("l0", 900), ("l1", 400)))
+    one, other = Members(new, 1), Members(Card("n1", "10.0.0.1", 7000, "z", True, "m", 1), 2)
+    other.met(1, [old])
+    other.met(2, [one.me])
+    assert other.view["10.0.0.0"].card.life == "l0"  # by its count alone it is older
+    one.met(3, other.swap())
+    other.met(4, [one.me])
+    assert other.view["10.0.0.0"].card.life == "l1"
+    one.met(5, [one.me])
+    assert one.me.beat == 901 and not set(one.view) - {"10.0.0.1"}
+
+
 def test_members_shuffle_until_all_voters_are_known_and_who_is_gone_is_forgotten() -> None:
     cards = [Card(f"n{k}", f"10.0.0.{k}", 7000, "z", k < 5, f"l{k}", 1) for k in range(7)]
     nodes = [Members(card, k) for k, card in enumerate(cards)]
