--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -190,7 +190,8 @@
 
 
 def test_a_controller_whose_clock_was_set_back_before_its_start_is_known_by_its_new_life() -> None:
-    old, new = (Card("n0", "10.0.0.0", 7000, "z", True, life, beat) for life, beat in (("l0", 900), ("l1", 400)))
+    lives = (("l0", 900), ("l1", 400))
+    old, new = (Card("n0", "10.0.0.0", 7000, "z", True, life, beat) for life, beat in lives)
     one, other = Members(new, 1), Members(Card("n1", "10.0.0.1", 7000, "z", True, "m", 1), 2)
     other.met(1, [old])
     other.met(2, [one.me])
