A join looks at its own tables alone; finding a route among 420 is measured

Change: the tables of its own cell alone. lab.cost also measures routes by host and prefix against the plain way.

--- a/meadowworks/lab/cost.py
+++ b/meadowworks/lab/cost.py
@@ -1,4 +1,5 @@
-"""What a join, a report line and a tick cost the decision module at two sizes, as ratios within one run.
+"""What a join, a report line and a tick cost the decision module at two sizes, and finding a route among 20
+and 420 against the plain way, as ratios within one run.
 
     python -O -m meadowworks.lab.cost
 
@@ -15,6 +16,8 @@
 
 from meadowworks.host import Entry, Route, Settings
 from meadowworks.rules import Controller
+from meadowworks.timetable.routes import Route as Route_
+from meadowworks.timetable.routes import Timetable
 
 SECOND = 1_000_000_000
 SIZES = ((50, 20), (640, 120))
@@ -64,7 +67,35 @@
     return join * 1e6, report / 8 * 1e6, tick / 8 * 1e6
 
 
+def routes(many: int) -> tuple[float, float]:
+    """Microseconds for finding the first and the newest of so many routes of one host: by the table of host
+    and prefix, and the plain way, which looks at each."""
+    prefixes = [f"/p{k}/" if k % 2 else f"/p{k}/q/" for k in range(many)]
+    rows = {p: Route_(p, True, 1000, 200, 0, 2, (("s", 1.0),)) for p in prefixes}
+    table = Timetable(1, {"h": rows})
+    paths = [prefixes[0] + "a/b/c", prefixes[-1] + "a/b/c"] * 500
+
+    def plain(path: str) -> Route_:
+        fit = (route for prefix, route in rows.items() if path.startswith(prefix))
+        return max(fit, key=lambda route: len(route.name))
+
+    assert all(table.find("h", path) is plain(path) for path in paths[:2])
+    took = []
+    for find in (lambda path: table.find("h", path), plain):
+        start = process_time()
+        for path in paths:
+            find(path)
+        took.append((process_time() - start) / len(paths) * 1e6)
+    return took[0], took[1]
+
+
 def main() -> int:
+    few, many = (
+        [median(found) for found in zip(*(routes(n) for _ in range(ROUNDS)), strict=True)] for n in (20, 420)
+    )
+    for n, row in ((20, few), (420, many)):
+        print(f"a route of {n}: {row[0]:.2f} us, plainly {row[1]:.1f} us")
+    print(f"ratios: of 420 to 20 {many[0] / few[0]:.2f}, plainly {many[1] / few[1]:.1f}")
     rows = [[median(found) for found in zip(*(once(*size) for _ in range(ROUNDS)), strict=True)]
             for size in SIZES]
     for (proxies, backends), row in zip(SIZES, rows, strict=True):
--- a/meadowworks/rules/__init__.py
+++ b/meadowworks/rules/__init__.py
@@ -59,8 +59,9 @@
 
     def joined(self, now: int, number: int, zone: int, usual: float) -> None:
         self.proxies[number] = Proxy(zone, usual, self.lightest(zone, self.proxies.values()))
+        own = self.cells[zone * self.splits + self.proxies[number].split]
         if any(not (b := self.backends[p]).ready or self.cold(now, b) and w > b.weight * self.part(now, b)
-               for lines in self.tables for p, w in lines.items()):
+               for table, _, _ in own for p, w in self.tables[table].items()):
             self.settle(now)  # guards against putting it on a table that caps held back
         self.bind(now, number)
 
--- a/meadowworks/rules/views.py
+++ b/meadowworks/rules/views.py
@@ -29,8 +29,7 @@
         backend.queue = load.get("queue", backend.queue)
         # Only good answers count, so quick errors lift nothing; late bundles are no jump.
         until, rate = now + 2 * max(covers_ns, self.set.report_ns), (tries - bad) * SECOND / covers_ns
-        view.lines[place] = rate, latency_ns, until
-        view.fresh = True
+        view.lines[place], view.fresh = (rate, latency_ns, until), True
 
     def asked(self, now: int, number: int, route: int, calls: int, dropped: int, covers_ns: int) -> None:
         proxy = self.proxies.get(number)
