A broken body behind a request at work does not answer in its place

Cause: uvicorn's cycle is the newest request, also while the one before is at work; with a broken body in the newest one our guard took it for the only one and wrote a 400, which stood for the answer of the one at work. Found by taking guards out of the door one at a time. Change: the newest, if queued and not whole, is dropped, and the connection ends after the answer of the one before.

--- a/meadowworks/track/door.py
+++ b/meadowworks/track/door.py
@@ -65,6 +65,7 @@
         self.reading = False  # whether the headers of a request are on their way
         self.taking = False  # whether its body is
         self.broken = False  # what comes now is read no more
+        self.before: Any = None  # the request before the newest
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
@@ -134,6 +135,7 @@
         if not self.url.startswith(b"/"):
             return self.turn_away(400, "the target is no path")
         self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
+        self.before = self.cycle
         super().on_headers_complete()
         if self.state.leaving:
             self.cycle.keep_alive = False
@@ -155,13 +157,15 @@
     def ends_after_work(self) -> bool:
         """Whether whole requests are at work: then the connection ends after their answers. Guards against
         an answer to what came behind them, which their client would take for theirs."""
-        if self.cycle is None or self.cycle.response_complete or self.cycle.more_body:
+        last = self.cycle  # the newest; it waits in the pipeline if the one before is at work
+        if last is not None and last.more_body and self.pipeline:
+            self.pipeline.popleft()  # its own body is what is broken
+            last = self.pipeline[0][0] if self.pipeline else self.before
+        if last is None or last.response_complete or last.more_body:
             return False
         self.broken = True
         self.calm()
-        while self.pipeline and self.pipeline[0][0].more_body:
-            self.pipeline.popleft()
-        (self.pipeline[0][0] if self.pipeline else self.cycle).keep_alive = False
+        last.keep_alive = False
         return True
 
     def send_400_response(self, msg: str) -> None:
--- a/tests/gateway/test_door.py
+++ b/tests/gateway/test_door.py
@@ -35,6 +35,11 @@
     "headers too large": (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 5000 + b"\r\n\r\n", [431], []),
     "headers without end": (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 5000, [431], []),
     "garbage behind a whole request": (OK + b"Content-Length: 3\r\n", [200], [b"/a"]),
+    "a broken body behind a whole request": (
+        OK + b"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        [200],
+        [b"/a"],
+    ),
     "two hosts behind a whole request": (
         OK + OK.replace(b"/a", b"/b") + OK.replace(b"Host", b"Host: i\r\nHost") + OK,
         [200, 200],
@@ -113,7 +118,8 @@
             message = await first()
             return message if message["more_body"] else await never()
 
-        assert await whole_body(stops, 500, room, within_s=0.01) is Cut.SLOW and room.held == 0
+        async with asyncio.timeout(1):
+            assert await whole_body(stops, 500, room, within_s=0.01) is Cut.SLOW and room.held == 0
 
     asyncio.run(main())
 
