--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -192,6 +192,7 @@
     [
         (["chek"], "there is no word 'chek'"),
         (["check", "atempt"], "there is no model 'atempt'"),
+        (["lab", "speed"], "there is no measurement 'speed'"),
         (["check", "--most", "0"], "--most is a whole number above 0"),
         (["check", "--depth", "x"], "--depth is"),
         (["check", "--workers", "-1"], "--workers"),
