Drains and leaves are on tolerate + 1 disks before they are acknowledged

Cause: an acknowledged drain stood in memory alone (keep_lives ran only when the set of ids changed), so after a loss of all power the life came back up; a Leave made a life of any id; a box that was cut off held a drain 0.7 s. Change: roster/fences.py keeps who is draining or gone by anyone's word, what is not yet on this disk, and up to which version of a source's news all is; signalbox/fencing.py writes one batch at a time in the disk's thread; a pull carries the receipt (`kept`: process and version), the vector is none any more. Kept fences are said again after a start, and by each box that has the life, so that no source's end takes one back. A Leave of an id that nobody knows is remembered (1,024, 60 s) and said only once somebody speaks of it; lives that call here are bounded (16,384), names (200), the acknowledgement (4 KiB). `beatUrl` only under the lease, and not for 10 s where a beat failed. A drain or leave at a box that is cut off is 503 at once, after 0.5 s again. Both forms of the pages' names of a beat are taken. A source that is forgotten takes back what it said, unless nobody at all is heard. Checks: `check telegraph` now takes away all that is not on disk at a restart (before: an acknowledgement counted only boxes that were up since); test of News.holders replaced by those of receipts, as strict; expiry tested with a source that lives.

--- a/meadowworks/check/faults.py
+++ b/meadowworks/check/faults.py
@@ -995,6 +995,7 @@
     ),
 )
 NEWS, BEATS = "meadowworks.telegraph.news:", "meadowworks.roster.beats:Beats."
+FENCES = "meadowworks.roster.fences:Fences."
 TELEGRAPH = (
     *(
         Fault(name, "telegraph", at, was, now, breaks)
@@ -1002,8 +1003,8 @@
             (
                 "a late beat takes a drain back",
                 BEATS + "beat",
-                "worse = RANK[status[\"state\"]] > RANK[life.state]",
-                "worse = status[\"state\"] != life.state",
+                "state = max(told, key=RANK.__getitem__)",
+                "state = status[\"state\"]",
                 ("never back", "own words"),
             ),
             (
@@ -1036,16 +1037,51 @@
             ),
             (
                 "a receipt is not waited for",
-                NEWS + "News.holders",
-                "vector.get(self.me, -1) >= version",
-                "version",
+                FENCES + "kept",
+                "self.receipts.get(host, -1) >= version",
+                "version >= 0",
                 ("acknowledged",),
             ),
             (
-                "a vector of any version is a receipt",
-                NEWS + "News.holders",
-                "vector.get(self.me, -1) >= version",
-                "self.me in vector",
+                "a receipt of any version is one",
+                FENCES + "kept",
+                "self.receipts.get(host, -1) >= version",
+                "host in self.receipts",
+                ("acknowledged",),
+            ),
+            (
+                "the own disk is not waited for",
+                FENCES + "kept",
+                "if self.synced.get(self.me, -1) < version:",
+                "if False:",
+                ("acknowledged",),
+            ),
+            (
+                "a receipt goes before the write",
+                FENCES + "settle",
+                "if not self.unsynced and self.writing is None:",
+                "if True:",
+                ("acknowledged",),
+            ),
+            (
+                "a write's receipt goes as it begins",
+                FENCES + "settle",
+                "if not self.unsynced and self.writing is None:",
+                "if not self.unsynced:",
+                ("acknowledged",),
+            ),
+            (
+                "a receipt to an earlier life counts",
+                FENCES + "receipted",
+                "if source != self.me:",
+                "if False:",
+                ("acknowledged",),
+            ),
+            (
+                "what is on disk is not said after a loss of power",
+                FENCES + "restore",
+                "Fence(tuple(value), now)",
+                "Fence((*value[:4], \"up\", *value[5:]), now)",
                 ("acknowledged",),
             ),
             (
--- a/meadowworks/check/models/telegraph.py
+++ b/meadowworks/check/models/telegraph.py
@@ -3,8 +3,9 @@
 the signalboxes and its end, and restarts under the same address.
 
 One backend beats, drains and leaves at either signalbox, and an old beat of it may come late; another is
-forgotten, so that a holder who is behind wants a snapshot. A drain is acknowledged as in the product: once
-another voter's vector says that it holds it.
+forgotten, so that a holder who is behind wants a snapshot. A drain is acknowledged as in the product, by
+`roster.fences.Fences`: once it is on the own disk and another voter's receipt covers it. A restart takes away
+all that is not on disk; where disks are slow a write begins and ends in steps of its own, elsewhere at once.
 """
 
 from __future__ import annotations
@@ -16,9 +17,10 @@
 
 from meadowworks.check.model import Model, Property, Step
 from meadowworks.roster.beats import DRAINING, GONE, PREFIX, RANK, UP, Beats
+from meadowworks.roster.fences import Fences
 from meadowworks.roster.lives import QUIET, Lives
 from meadowworks.telegraph.members import Card, Members
-from meadowworks.telegraph.news import News, Piece
+from meadowworks.telegraph.news import News, Piece, Told
 
 BOXES, JUNCTION = (0, 1), 2
 X, Y = "x", "y"  # the backend that goes, and the one that is forgotten
@@ -40,6 +42,7 @@
     slow: int = 0  # answers to pulls that come later, or twice
     cuts: int = 0
     pulls: int = 5
+    slow_disks: bool = False  # and the junction, which has none, stands by
 
 
 class Node:
@@ -51,10 +54,19 @@
         self.me = f"{host}.{life}"
         self.news = News(self.me, 0)
         self.lives = Lives(still, still)
-        self.news.listeners.append(self.lives.told)
-        self.beats = Beats(self.news.say, BEAT_MS)
+        self.fences = Fences(self.me)
+        self.news.listeners += [self.lives.told, self.heard]
+        self.news.reached.append(self.fences.reached)
+        self.beats = Beats(self.news.say, BEAT_MS, self.fences.state, self.known)
+        self.asked: dict[int, str] = {}  # by host: the life that answered last
         self.members = Members(Card(self.me, f"h{host}", 1, "z", voting, self.me, 100 * life), 1)
 
+    def heard(self, event: Told) -> None:
+        self.fences.told(0, event)
+
+    def known(self, ident: str) -> bool:
+        return self.lives.heard_of(ident) or ident in self.fences.fences
+
     def rank(self) -> int:
         """How far it takes the backend to be gone; -1 if it has not heard of it. One of which no address is
         known yet has a state all the same."""
@@ -75,9 +87,9 @@
         self.nodes = [Node(host, 1) for host in (*BOXES, JUNCTION)]
         self.calls, self.state = 1, UP
         self.saved: list[dict[str, list[Any]]] = [{}, {}]
+        self.disks: list[dict[str, Any]] = [{}, {}]  # fences
         self.owed: tuple[int, int] | None = None  # the box that heard a drain or leave, and its news' version
         self.acked: frozenset[int] = frozenset()  # boxes that must know of it since it was acknowledged
-        self.fresh: frozenset[int] = frozenset()  # boxes whose process began after it was told
         self.cut = False
         self.answer: tuple[int, tuple[Piece, ...], Card] | None = None  # on its way to a holder
         for name in (X, Y) if scene.forgets else (X,):
@@ -109,14 +121,21 @@
                 found.append(("silence", box))
             if left.restarts:
                 found.append(("restart", box))
+        for box in BOXES:
+            fences = self.nodes[box].fences
+            if fences.writing is not None:
+                found.append(("written", box))
+            elif fences.unsynced and left.slow_disks:
+                found.append(("write", box))
         if left.forgets and Y in self.nodes[0].beats.lives:
             found.append(("forget",))
         if left.pulls:
             for asker, holder in ((0, 1), (1, 0), (JUNCTION, 0), (JUNCTION, 1)):
-                if not (self.cut and JUNCTION not in (asker, holder)):
-                    found.append(("pull", asker, holder))
-                    if left.slow and not self.answer:
-                        found.append(("ask", asker, holder))
+                if left.slow_disks if asker == JUNCTION else self.cut:
+                    continue
+                found.append(("pull", asker, holder))
+                if left.slow and not self.answer:
+                    found.append(("ask", asker, holder))
         if self.answer:
             found += [("come",), ("lost",)]
         if self.owed and not self.acked and self.known(*self.owed):
@@ -127,7 +146,7 @@
 
     def known(self, box: int, version: int) -> bool:
         """As `signalbox.resources.Backends` asks it."""
-        return bool(self.nodes[box].news.holders(version) & {f"h{1 - box}"})
+        return self.nodes[box].fences.kept(version, [f"h{1 - box}"], 1, True)
 
     def spend(self, what: str) -> None:
         self.left = replace(self.left, **{what: getattr(self.left, what) - 1})
@@ -136,6 +155,9 @@
         kind, *what = step
         before = [(n.me, n.rank(), self.cards(n)) for n in self.nodes]
         getattr(self, "do_" + kind)(*what)
+        for box in BOXES if not self.scene.slow_disks else ():
+            if self.nodes[box].fences.batch():
+                self.do_written(box)
         self.did = []
         for node, (me, rank, cards) in zip(self.nodes, before, strict=True):
             if node.me == me:
@@ -150,13 +172,14 @@
         self.spend("drains")
         self.calls, self.state = self.calls + 1, DRAINING
         taken = self.nodes[box].beats.beat(0, X, self.beat(DRAINING, self.calls))
-        self.owed, self.fresh = (box, getattr(taken, "version", 0)), frozenset()
+        self.owed = box, getattr(taken, "version", 0)
 
     def do_leave(self, box: int) -> None:
         self.spend("leaves")
         self.state = GONE
-        self.owed, self.acked = (box, self.nodes[box].beats.leave(0, X).version), frozenset()
-        self.fresh = frozenset()
+        taken, self.acked = self.nodes[box].beats.leave(0, X), frozenset()
+        version = getattr(taken, "version", 0)
+        self.owed = (box, version) if version else None  # no stranger's: that wants a majority's news
 
     def do_late(self, box: int) -> None:
         """A beat from before comes now."""
@@ -170,15 +193,23 @@
         beats.tick(0)
 
     def do_restart(self, box: int) -> None:
-        """Its process alone: what it said is its last life's, what it kept is said again."""
+        """Power is lost: what it said is its last life's, what is on its disk is said again."""
         self.spend("restarts")
         node = self.nodes[box] = Node(box, self.nodes[box].life + 1)
-        node.beats.restore(0, self.saved[box])
-        self.acked -= {box}
-        self.fresh |= {box}
+        node.fences.restore(0, self.disks[box])
+        node.beats.restore(0, {**{i: list(v) for i, v in self.disks[box].items()}, **self.saved[box]})
         if self.owed and self.owed[0] == box:
             self.owed = None
 
+    def do_write(self, box: int) -> None:
+        self.nodes[box].fences.batch()
+
+    def do_written(self, box: int) -> None:
+        fences = self.nodes[box].fences
+        assert fences.writing is not None
+        self.disks[box] = {**self.disks[box], **fences.writing.rows}
+        fences.written()
+
     def do_forget(self) -> None:
         self.spend("forgets")
         del self.nodes[0].beats.lives[Y]
@@ -187,14 +218,18 @@
     def pieces(self, asker: int, holder: int) -> tuple[tuple[Piece, ...], Card]:
         one, other = self.nodes[asker], self.nodes[holder]
         other.members.met(0, [one.members.me])
-        other.news.asked(f"h{asker}", one.news.vector())
+        if asker != JUNCTION and holder in one.asked:
+            other.fences.receipted(f"h{asker}", *one.fences.receipt(one.asked[holder]))
         return tuple(other.news.lacks(one.news.vector(), one.me)), other.members.me
 
     def take(self, asker: int, pieces: tuple[Piece, ...], card: Card) -> None:
         node = self.nodes[asker]
         node.members.met(0, [card])
+        node.asked[int(card.host[1:])] = card.life
         for piece in pieces:
             node.news.take(0, Piece.unpack(piece.pack()))
+        if node.beats.strangers:
+            node.beats.tick(0)
 
     def pull(self, asker: int, holder: int) -> None:
         self.take(asker, *self.pieces(asker, holder))
@@ -222,7 +257,7 @@
         self.answer = None
 
     def do_ack(self) -> None:
-        self.acked = frozenset(BOXES) - self.fresh
+        self.acked = frozenset(BOXES)
 
     def do_cut(self) -> None:
         if not self.cut:
@@ -245,10 +280,10 @@
             self.state,
             self.owed,
             tuple(sorted(self.acked)),
-            tuple(sorted(self.fresh)),
             self.cut,
             repr(self.answer),
             repr(self.saved),
+            repr(self.disks),
             tuple([self.facts(node) for node in self.nodes]),
         )
 
@@ -261,7 +296,10 @@
                     for name, s in sorted(node.news.sources.items())
                 ]
             ),
-            repr(sorted(node.news.held.items())),
+            repr(sorted(node.fences.fences.items())),
+            repr((sorted(node.fences.unsynced), node.fences.writing, sorted(node.fences.receipts.items()))),
+            repr((sorted(node.fences.pending.items()), sorted(node.fences.synced.items()))),
+            repr((sorted(node.asked.items()), sorted(node.beats.strangers))),
             repr(sorted((k, v.state) for k, v in node.lives.known.items())),
             repr(sorted(node.beats.lives.items())),
             tuple(sorted(self.cards(node).items())),
@@ -282,8 +320,7 @@
 
 
 def ack_kept(world: World) -> bool:
-    """Whoever was up since it was told knows it. A receipt given by a process that was killed a moment later
-    is not one by the next: that is told apart only once it speaks."""
+    """Whatever power was lost since: it is on both disks."""
     return all(world.nodes[box].rank() >= 1 for box in world.acked)
 
 
@@ -342,7 +379,7 @@
     ),
     Property("cards rise", "a card is never replaced by an older one", cards_rise, "step"),
     Property(
-        "acknowledged", "a drain that was acknowledged is known at each signalbox that was up since", ack_kept
+        "acknowledged", "a drain that was acknowledged is known at each signalbox, on its disk", ack_kept
     ),
     Property("copies whole", "who is at a source's newest version holds just what it says", copies_whole),
     Property("same list", "who holds the same news folds the same list", same_list),
@@ -361,7 +398,9 @@
         "leave": "the backend leaves, and says so at {0}",
         "late": "an old beat comes to {0}",
         "silence": "{0} has not heard the backend for long",
-        "restart": "the process of {0} is killed and starts again",
+        "restart": "{0} loses its power and starts again",
+        "write": "{0} begins to write what it has learnt",
+        "written": "that is on its disk",
         "forget": "signalbox 0 forgets the other backend",
         "pull": "{0} pulls from {1}",
         "ask": "{0} asks {1}, whose answer is on its way",
@@ -379,6 +418,8 @@
         Scene("forgotten while answers are slow", forgets=1, slow=2, pulls=2),
         Scene("silent at one", silences=2, late=1, pulls=3),
         Scene("a restart, slow answers", drains=1, restarts=1, slow=1, pulls=2),
+        Scene("a drain, slow disks", drains=1, silences=1, restarts=1, pulls=3, slow_disks=True),
+        Scene("a receipt to a life before", 1, 0, 0, 1, 1, 0, 1, 0, 1, slow_disks=True),
     ]
     if large:
         scenes += [
--- a/meadowworks/depot/disk.py
+++ b/meadowworks/depot/disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sqlite3
+from collections.abc import Collection, Mapping
 from pathlib import Path
 from uuid import uuid4
 
@@ -13,6 +14,7 @@
 CREATE TABLE IF NOT EXISTS slots (version INTEGER PRIMARY KEY, promised_n INTEGER, promised_by TEXT,
                                   accepted_n INTEGER, accepted_by TEXT, content BLOB);
 CREATE TABLE IF NOT EXISTS lives (ident TEXT PRIMARY KEY, value BLOB);
+CREATE TABLE IF NOT EXISTS fences (ident TEXT PRIMARY KEY, value BLOB);
 """
 
 
@@ -80,5 +82,20 @@
     def lives(self) -> dict[str, bytes]:
         return dict(self.db.execute("SELECT ident, value FROM lives").fetchall())
 
+    def keep_fences(self, rows: Mapping[str, bytes], gone: Collection[str]) -> None:
+        """Lives that are draining or gone: what this has returned from is owed to whoever was told so."""
+        self.db.execute("BEGIN")
+        try:
+            self.db.executemany("DELETE FROM fences WHERE ident = ?", [(ident,) for ident in gone])
+            self.db.executemany("INSERT OR REPLACE INTO fences VALUES (?, ?)", list(rows.items()))
+            self.db.execute("COMMIT")
+        except BaseException:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+            raise
+
+    def fences(self) -> dict[str, bytes]:
+        return dict(self.db.execute("SELECT ident, value FROM fences").fetchall())
+
     def close(self) -> None:
         self.db.close()
--- a/meadowworks/roster/lives.py
+++ b/meadowworks/roster/lives.py
@@ -117,6 +117,14 @@
             return UP  # nobody is heard at all: that says nothing of the backends
         return QUIET if all(s.quiet for s in alive.values()) else UP
 
+    def heard_of(self, ident: str) -> bool:
+        """Whether any source speaks of it."""
+        return ident in self.said
+
+    def fenced(self, ident: str) -> bool:
+        """Whether any source says that it is draining or gone."""
+        return any(RANK[s.state] for s in self.said.get(ident, {}).values())
+
     def ended(self, ident: str) -> None:
         """Another backend answered at its address."""
         self.over.add(ident)
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -9,6 +9,7 @@
 import sqlite3
 import tempfile
 import time
+from functools import partial
 from typing import Any
 from uuid import uuid4
 
@@ -17,7 +18,9 @@
 from meadowworks.points.figures import Sums
 from meadowworks.roster.beats import PREFIX as BACKENDS
 from meadowworks.roster.beats import Beats
+from meadowworks.roster.fences import Fences
 from meadowworks.roster.lives import Lives
+from meadowworks.signalbox.fencing import Fencing, read
 from meadowworks.signalbox.office import Office, read_letter, write_letter
 from meadowworks.signalbox.resources import Backends, Config, routes
 from meadowworks.telegraph import post
@@ -32,6 +35,8 @@
 from meadowworks.track.program import Tasks, now_ns, run
 
 PULL_MS, PULL_S = 1000, 2.0  # that a pull may be held back, and is waited for
+OWED_MS = 50  # that one is held back while a receipt is owed: it goes with the next
+SYNC_S = 0.1  # that a receipt is waited for before the next pull goes without it
 BATCH_S = 0.15  # that news of backends gather in before a junction is told: each telling costs every junction
 TOUCH_NS = 2_500_000_000  # a voter that answered a pull within this is in touch
 SUMMARY_TURNS = 10  # seconds between the log's lines of counters
@@ -49,7 +54,10 @@
         self.news.listeners.append(self.told)
         self.lives = Lives(lambda name: self.news.quiet(now_ns(), name), now_ns)
         self.news.listeners.append(self.lives.told)
-        self.beats = Beats(self.news.say, boot.heartbeat_ms)
+        self.fences = Fences(self.life)
+        self.news.listeners.append(lambda event: self.fences.told(now_ns(), event))
+        self.news.reached.append(self.fences.reached)
+        self.beats = Beats(self.news.say, boot.heartbeat_ms, self.fences.state, self.known)
         self.peers: dict[tuple[str, int], Peer] = {}
         self.pulling: set[tuple[str, int]] = set()
         self.touched_ns: dict[str, int] = {}
@@ -68,23 +76,34 @@
             self.learnt,
         )
         self.kept = self.office.disk.lives()
-        self.beats.restore(now_ns(), {ident: post.unpack(value) for ident, value in self.kept.items()})
-        self.backends = Backends(self.beats, self.news, self.members, boot.tolerate, self.near)
-        self.routes = routes(self.backends, Config(self.office))
         self.tasks = Tasks()
+        self.fencing = Fencing(self.fences, self.office.disk, self.office.thread, self.tasks.start)
+        fenced = read(self.office.disk.fences())
+        self.fences.restore(now_ns(), fenced)
+        self.beats.restore(now_ns(), fenced | read(self.kept))
+        self.backends = Backends(self.beats, self.fencing, self.held_by_enough, self.near, self.sure)
+        self.routes = routes(self.backends, Config(self.office))
         self.inner_door = Door(self.inner, Limits(65536, 3.0, 30.0))
         self.ctl_door = Door(self.ctl, Limits(65536, 3.0, 30.0))
 
     def peer(self, host: str, port: int) -> Peer:
         return self.peers.setdefault((host, port), Peer(host, port))
 
-    def near(self, ident: str) -> str | None:
-        """The ctl address of a signalbox in a backend's zone, if this one is of another; ports are alike."""
+    def known(self, ident: str) -> bool:
+        """Whether anyone has spoken of a backend."""
+        return self.lives.heard_of(ident) or ident in self.fences.fences
+
+    def held_by_enough(self, version: int) -> bool:
+        hosts = {card.host for card in self.members.voters()}
+        return self.fences.kept(version, hosts, self.boot.tolerate, self.boot.voting)
+
+    def near(self, ident: str) -> list[str]:
+        """Ctl addresses of signalboxes in a backend's zone, if this one is of another; ports are alike."""
         life = self.beats.lives.get(ident)
         if life is None or life.zone == self.boot.zone:
-            return None
+            return []
         hosts = [c.host for c in self.members.voters(now_ns()) if c.zone == life.zone]
-        return f"{hosts[0]}:{self.boot.bind['ctl'][1]}" if hosts else None
+        return [f"{host}:{self.boot.bind['ctl'][1]}" for host in hosts]
 
     # -- what wakes a pull
 
@@ -127,9 +146,7 @@
     async def pulled(self, pull: post.Pull) -> bytes:
         now = now_ns()
         self.members.met(now, [pull.me, *pull.cards])
-        self.news.asked(pull.me.host, pull.vector)
-        if pull.me.voting:
-            self.backends.heard()
+        self.receipt(pull)
         if pull.figures:
             self.sums.setdefault(pull.me.zone, Sums()).add(pull.figures)
         end = asyncio.get_running_loop().time() + min(pull.wait_ms, PULL_MS) / 1000
@@ -152,6 +169,14 @@
             cards = (*cards, known.card)  # its last life's: it will raise its own above that
         return post.News(self.members.me, cards, tuple(pieces), self.sure(), table).pack()
 
+    def receipt(self, pull: post.Pull) -> None:
+        """What another disk has of the own drains. A card older than what is known of its host is its last
+        life's, whose receipts say nothing of the disk that is there now."""
+        known = self.members.view.get(pull.me.host)
+        if pull.kept is not None and pull.me.voting and known is not None and known.card.life == pull.me.life:
+            self.fences.receipted(pull.me.host, *pull.kept)
+            self.fencing.moved()
+
     def urgent(self, pieces: list[Piece], pull: post.Pull) -> bool:
         return (
             self.leaving
@@ -170,7 +195,7 @@
 
     async def pull(self, host: str, port: int) -> None:
         """Pulls from one signalbox until it is no longer known."""
-        peer, turn = self.peer(host, port), 0
+        peer, turn, asked = self.peer(host, port), 0, ""
         try:
             while any(c.host == host for c in self.members.voters()) or self.is_seed(host):
                 cards = tuple(self.members.swap()[1:]) if turn % 5 == 0 else ()
@@ -179,7 +204,8 @@
                     cards or (self.members.me,) if turn % 5 == 0 else (),
                     self.news.vector(),
                     self.office.box.held.version,
-                    PULL_MS,
+                    PULL_MS if self.fences.level(asked) else OWED_MS,
+                    kept=self.fences.receipt(asked),
                 )
                 try:
                     news = post.read_news(await peer.call(b"/pull", pull.pack(), PULL_S))
@@ -193,6 +219,8 @@
                 self.members.met(now, [news.me, *news.cards])
                 for piece in news.pieces:
                     self.news.take(now, piece)
+                asked = news.me.life
+                await self.fencing.until(partial(self.fences.level, asked), SYNC_S)
                 if news.table is not None:
                     try:
                         await self.office.learn(*news.table)
@@ -230,6 +258,8 @@
         self.news.expire(now)
         self.beats.tick(now)
         self.lives.tick()
+        self.fences.tick(now, self.lives.fenced, self.news.sources)
+        self.fencing.wake()
         self.lives.changed.clear()
         self.pulse += 1
         if self.pulse % SUMMARY_TURNS == 0:
--- a/meadowworks/signalbox/resources.py
+++ b/meadowworks/signalbox/resources.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from meadowworks.roster.beats import Bad, Beats
+from meadowworks.roster.beats import Bad, Beats, Full, Nearby, Taken
+from meadowworks.signalbox.fencing import Fencing
 from meadowworks.signalbox.office import Office
-from meadowworks.telegraph.members import Members
-from meadowworks.telegraph.news import News
 from meadowworks.timetable.check import Invalid, check
 from meadowworks.timetable.register import Chosen, Overtaken
 from meadowworks.track import logs
 from meadowworks.track.program import now_ns
 
-HELD_S = 0.7  # that a drain's acknowledgement waits for others to hold it: a caller gives a beat a second
+HELD_S = 0.7  # that a drain's acknowledgement waits for disks to hold it: a caller gives a beat a second
+ACK_MOST = 4096  # bytes of an acknowledgement: a larger one is none
+CUT_OFF_S = 0.5  # after which a caller may come back to a box that is cut off
 PROPOSE_NS = 800_000_000
 READ_NS = 800_000_000
 log = logs.part("ctl")
@@ -34,63 +34,61 @@
 
 
 class Backends:
-    """Beats and leaves. `near` names the address of a signalbox in a backend's own zone, if it is not this
-    one: beats between zones cost bytes. A drain is acknowledged only once so many other disks' controllers
-    know of it that the loss of those which may be lost leaves one that does."""
+    """Beats and leaves. `near` names addresses of signalboxes in a backend's own zone, if it is not this
+    one's: beats between zones cost bytes. `kept` tells whether a version of the own news is on so many disks
+    that the loss of those which may be lost leaves one; only then is a drain or a leave acknowledged. `sure`:
+    this box has its lease."""
 
     def __init__(
-        self, beats: Beats, news: News, members: Members, others: int, near: Callable[[str], str | None]
+        self,
+        beats: Beats,
+        fencing: Fencing,
+        kept: Callable[[int], bool],
+        near: Callable[[str], list[str]],
+        sure: Callable[[], bool],
     ) -> None:
-        self.beats, self.news, self.members, self.others = beats, news, members, others
-        self.near = near
-        self.moved: set[asyncio.Future[None]] = set()
+        self.beats, self.fencing, self.kept, self.near, self.sure = beats, fencing, kept, near, sure
+        self.nearby = Nearby()
         self.acked: set[str] = set()  # lives whose drain was acknowledged here
 
-    def heard(self) -> None:
-        """A peer has asked for news: what it holds may have risen."""
-        for waiting in self.moved:
-            if not waiting.done():
-                waiting.set_result(None)
-
-    def known(self, version: int) -> bool:
-        hosts = {card.host for card in self.members.voters()}
-        return len(self.news.holders(version) & hosts) >= self.others
-
-    async def kept(self, version: int) -> bool:
-        loop = asyncio.get_running_loop()
-        end = loop.time() + HELD_S
-        while not self.known(version):
-            if (left := end - loop.time()) <= 0:
-                return False
-            waiting: asyncio.Future[None] = loop.create_future()
-            self.moved.add(waiting)
-            try:
-                await asyncio.wait([waiting], timeout=left)
-            finally:
-                self.moved.discard(waiting)
-        return True
-
     async def heartbeat(self, ident: str, body: bytes) -> Answer:
         try:
             document = json.loads(body)
         except (ValueError, RecursionError):
             return error(400, "no JSON")
-        found = self.beats.beat(now_ns(), ident, document)
-        if isinstance(found, Bad):
-            return error(400, found.why)
-        if found.version and not await self.kept(found.version):
-            return error(503, "too few controllers know of it yet", 0.2)
-        if found.version and ident not in self.acked:
+        now = now_ns()
+        found = self.beats.beat(now, ident, document)
+        if (refused := await self.settled(found)) is not None:
+            return refused
+        if isinstance(found, Taken) and found.version and ident not in self.acked:
             self.acked = {one for one in self.acked if one in self.beats.lives} | {ident}
-            log.info("{} drains, and others know", ident)
-        at = self.near(ident)
-        return Answer(200, json.dumps({"beatUrl": at}).encode()) if at else Answer(200)
+            log.info("{} drains, and it is on enough disks", ident)
+        self.nearby.came(now, ident)
+        # Guards against one that is cut off: where it sends callers may be as cut off as it is.
+        at = self.nearby.choose(now, ident, self.near(ident)) if self.sure() else None
+        answer = json.dumps({"beatUrl": at}).encode() if at else b"{}"
+        return Answer(200, answer if len(answer) <= ACK_MOST else b"{}")
 
     async def leave(self, ident: str, body: bytes) -> Answer:
         found = self.beats.leave(now_ns(), ident)
-        if not await self.kept(found.version):
-            return error(503, "too few controllers know of it yet", 0.2)
-        return Answer(200)
+        if found == Taken(0) and not self.sure():
+            return error(503, "cut off: what others know of it is not heard here", CUT_OFF_S)
+        return await self.settled(found) or Answer(200)
+
+    async def settled(self, found: Taken | Bad | Full) -> Answer | None:
+        """Why a call is not acknowledged; nothing if it may be."""
+        match found:
+            case Bad(why):
+                return error(400, why[:200])
+            case Full():
+                return error(503, "too many backends call here", 1.0)
+            case Taken(version) if version and not self.kept(version):
+                self.fencing.wake()
+                if not self.sure():
+                    return error(503, "cut off from a majority: call another", CUT_OFF_S)
+                if not await self.fencing.until(lambda: self.kept(version), HELD_S):
+                    return error(503, "it is on too few disks yet", 0.2)
+        return None
 
 
 class Config:
--- a/meadowworks/telegraph/news.py
+++ b/meadowworks/telegraph/news.py
@@ -79,7 +79,7 @@
         self.me, self.tombs = me, tombs
         self.sources: dict[str, Source] = {me: Source()}
         self.listeners: list[Callable[[Told], None]] = []
-        self.held: dict[str, Mapping[str, int]] = {}  # by peer: the vector that it last asked with
+        self.reached: list[Callable[[str, int], None]] = []  # all of a source up to a version is told
 
     def say(self, key: str, value: Value) -> int:
         """The version under which it is said from now on."""
@@ -87,8 +87,14 @@
         mine.put(mine.top + 1, key, value)
         if value is None:
             mine.forget(self.tombs)
+        version = mine.top
         self.tell(Told(self.me, key, value))
-        return mine.top
+        self.whole(self.me, version)
+        return version
+
+    def whole(self, source: str, version: int) -> None:
+        for listener in self.reached:
+            listener(source, version)
 
     def tell(self, event: Told) -> None:
         for listener in self.listeners:
@@ -100,14 +106,6 @@
     def own_vector(self) -> dict[str, int]:
         return {name: source.top for name, source in self.sources.items()}
 
-    def asked(self, peer: str, vector: Mapping[str, int]) -> None:
-        """A peer's vector says what it holds: that is how an acknowledgement comes to its sayer."""
-        self.held[peer] = vector
-
-    def holders(self, version: int) -> set[str]:
-        """Peers that are known to hold what was said here under a version."""
-        return {peer for peer, vector in self.held.items() if vector.get(self.me, -1) >= version}
-
     def lacks(self, vector: Mapping[str, int], asker: str) -> list[Piece]:
         """What a holder with this vector lacks, but for what it says itself."""
         pieces = []
@@ -148,6 +146,7 @@
             if old is None or old[1] != value:
                 self.tell(Told(piece.source, key, value))
         source.top, source.moved_ns = max(source.top, piece.top), now
+        self.whole(piece.source, source.top)
 
     def quiet(self, now: int, name: str) -> int:
         """For how long a source has said nothing, in nanoseconds; its own never is."""
@@ -155,8 +154,15 @@
         return 0 if name == self.me else now - source.moved_ns if source else FORGET_NS
 
     def expire(self, now: int) -> list[str]:
-        """Forgets sources that are gone."""
-        gone = [n for n, s in self.sources.items() if n != self.me and now - s.moved_ns > FORGET_NS]
+        """Forgets sources that are gone, and takes back what they said. Where nobody at all is heard, the
+        silence is one's own: then none is forgotten."""
+        others = {name: now - s.moved_ns for name, s in self.sources.items() if name != self.me}
+        if all(silent > FORGET_NS for silent in others.values()):
+            return []
+        gone = [name for name, silent in others.items() if silent > FORGET_NS]
         for name in gone:
-            del self.sources[name]
+            entries = self.sources.pop(name).entries
+            for key, (_, value) in entries.items():
+                if value is not None:
+                    self.tell(Told(name, key, None))
         return gone
--- a/meadowworks/telegraph/post.py
+++ b/meadowworks/telegraph/post.py
@@ -25,7 +25,9 @@
 @dataclass(frozen=True, slots=True)
 class Pull:
     """`table` is the version of the configuration that is held; `figures` what the asker has counted since
-    its last pull; `wait_ms` how long the answer may be held back for want of urgent news."""
+    its last pull; `wait_ms` how long the answer may be held back for want of urgent news; `kept` a receipt: a
+    process of the asked box, and the version of its news up to which all drains and leaves are on the asker's
+    disk. The vector is none: it tells what is in memory."""
 
     me: Card
     cards: tuple[Card, ...]
@@ -33,10 +35,12 @@
     table: int
     wait_ms: int
     figures: Any = None
+    kept: tuple[str, int] | None = None
 
     def pack(self) -> bytes:
         cards = [card.pack() for card in self.cards]
-        return pack([self.me.pack(), cards, self.vector, self.table, self.wait_ms, self.figures])
+        kept = None if self.kept is None else [*self.kept]
+        return pack([self.me.pack(), cards, self.vector, self.table, self.wait_ms, self.figures, kept])
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +82,7 @@
 def read_pull(body: bytes) -> Pull:
     """Raises Garbled."""
     try:
-        me, cards, vector, table, wait, figures = unpack(body)
+        me, cards, vector, table, wait, figures, kept = unpack(body)
         return Pull(
             Card.unpack(me),
             tuple(map(Card.unpack, cards)),
@@ -86,6 +90,7 @@
             int(table),
             int(wait),
             figures,
+            None if kept is None else (str(kept[0]), int(kept[1])),
         )
     except SHAPE as trouble:
         raise Garbled(f"no pull: {trouble}") from None
--- /dev/null
+++ b/tests/gateway/test_roster.py
@@ -0,0 +1,413 @@
+"""Drains and leaves outlive any loss of power that may be; beats and leaves by ids that nobody knows."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import sqlite3
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from meadowworks.depot.disk import Disk
+from meadowworks.roster.beats import (
+    AVOID_NS,
+    KEEP_NS,
+    STRANGERS_MOST,
+    Bad,
+    Beats,
+    Full,
+    Nearby,
+    Taken,
+)
+from meadowworks.roster.fences import Fences
+from meadowworks.roster.lives import Lives
+from meadowworks.signalbox.fencing import Fencing, read
+from meadowworks.signalbox.resources import Answer, Backends
+from meadowworks.telegraph.news import News, Told
+from tests.gateway.helpers import SECOND, until
+
+
+def beat(state: str = "up", calls: int = 1, **rest: Any) -> dict[str, Any]:
+    details = {"svc": "s", "ver": "v1", "zone": "north", "capacity": 2}
+    return {
+        "addr": "10.0.0.9:80",
+        "details": details,
+        "status": {"state": state, "calls": calls, "warmupMs": 0},
+        **rest,
+    }
+
+
+class Box:
+    """What a signalbox keeps of lives, wired as in `signalbox.program`, without doors."""
+
+    def __init__(self, host: str, life: int = 1, rows: dict[str, Any] | None = None) -> None:
+        self.host, self.now = host, 0
+        self.news = News(f"{host}.{life}")
+        self.lives = Lives(lambda name: 0, lambda: 0)
+        self.fences = Fences(self.news.me)
+        self.news.listeners += [self.lives.told, lambda event: self.fences.told(self.now, event)]
+        self.news.reached.append(self.fences.reached)
+        self.beats = Beats(self.news.say, 1000, self.fences.state, self.known, 4)
+        self.rows: dict[str, Any] = dict(rows or {})
+        self.fences.restore(0, self.rows)
+        self.beats.restore(0, self.rows)
+
+    def known(self, ident: str) -> bool:
+        return self.lives.heard_of(ident) or ident in self.fences.fences
+
+    def sync(self) -> None:
+        while batch := self.fences.batch():
+            self.rows = {k: v for k, v in {**self.rows, **batch.rows}.items() if k not in batch.gone}
+            self.fences.written()
+
+    def pull(self, other: Box, reply: bool = True) -> None:
+        """Asks another for news, with a receipt for its process; the reply may be lost."""
+        other.fences.receipted(self.host, *self.fences.receipt(other.news.me))
+        if reply:
+            for piece in other.news.lacks(self.news.vector(), self.news.me):
+                self.news.take(0, piece)
+
+    def kept(
+        self, found: Any, voters: tuple[str, ...] = ("b",), tolerate: int = 1, votes: bool = True
+    ) -> bool:
+        assert isinstance(found, Taken) and found.version
+        return self.fences.kept(found.version, voters, tolerate, votes)
+
+
+def test_a_drain_is_kept_only_once_both_disks_have_it_whatever_order_things_come_in() -> None:
+    one, other = Box("a"), Box("b")
+    one.beats.beat(0, "i", beat())
+    other.pull(one)
+    other.pull(one)
+    found = one.beats.beat(1, "i", beat("draining", 2))
+    assert not one.kept(found)
+    one.sync()
+    assert not one.kept(found)  # the receipt lies behind
+    other.pull(one, reply=False)
+    other.pull(one)
+    other.pull(one)  # what it has learnt is in its memory alone
+    assert not one.kept(found) and other.news.vector()[one.news.me] == found.version  # type: ignore[union-attr]
+    other.sync()
+    assert not one.kept(found)  # it has said nothing of it yet
+    other.pull(one, reply=False)  # the reply is lost, the question came: that is the receipt
+    assert one.kept(found) and not one.kept(found, ()) and not one.kept(found, ("b",), 2)
+    assert not one.kept(found, votes=False) and one.kept(found, ("b",), 0, votes=False)
+
+
+def test_the_own_disk_counts_only_once_it_has_synced() -> None:
+    one, other = Box("a"), Box("b")
+    found = one.beats.beat(0, "i", beat("draining"))
+    other.pull(one)
+    other.sync()
+    other.pull(one)
+    assert not one.kept(found)
+    assert one.fences.batch() is not None and not one.kept(found)  # it is being written
+    one.fences.failed()  # the disk refuses it
+    assert not one.kept(found)
+    one.sync()
+    assert one.kept(found) and "i" in one.rows
+
+
+def test_a_drain_that_comes_during_a_write_waits_for_the_next() -> None:
+    one, other = Box("a"), Box("b")
+    first = one.beats.beat(0, "i", beat("draining"))
+    other.pull(one)
+    batch = other.fences.batch()
+    second = one.beats.beat(0, "j", beat("draining"))
+    third = one.beats.beat(0, "k", beat("draining"))
+    other.pull(one)
+    assert batch is not None and set(batch.rows) == {"i"} and other.fences.batch() is None
+    other.fences.written()
+    other.pull(one)
+    one.sync()
+    assert one.kept(first) and not one.kept(second) and not one.kept(third)
+    batch = other.fences.batch()
+    assert batch is not None and set(batch.rows) == {"j", "k"}  # one write for both
+    other.fences.written()
+    other.pull(one)
+    assert one.kept(third)
+
+
+def test_after_all_power_is_lost_right_after_the_acknowledgement_no_life_is_back_up() -> None:
+    boxes = [Box(host) for host in "abc"]
+    one, other, third = boxes
+    one.beats.beat(0, "i", beat())
+    third.pull(one)
+    found = one.beats.beat(1, "i", beat("draining", 2))
+    one.sync()
+    other.pull(one)
+    other.sync()
+    other.pull(one)
+    assert one.kept(found, ("b", "c"))
+    for lost in (0, 1):  # one disk does not come back
+        again = [Box(b.host, 2, b.rows) for k, b in enumerate(boxes) if k != lost]
+        for box in again:
+            box.beats.beat(2, "i", beat("up", 1))  # a late one
+        for box in again:
+            for source in again:
+                if source is not box:
+                    box.pull(source)
+        assert [b.lives.known["i"].state for b in again] == ["draining"] * 2, lost
+
+
+def test_a_receipt_to_an_earlier_life_and_one_of_a_new_process_say_nothing_of_now() -> None:
+    one, other = Box("a"), Box("b")
+    for calls in range(5):
+        one.beats.beat(0, f"i{calls % 3}", beat("draining", calls))
+    other.pull(one)
+    other.sync()
+    again = Box("a", 2, {})
+    found = again.beats.beat(0, "j", beat("draining"))
+    again.sync()
+    again.fences.receipted("b", *other.fences.receipt("a.1"))
+    assert not again.kept(found)
+    again.fences.receipted("b", *Fences("b.2").receipt("a.2"))
+    assert again.fences.receipts == {"b": -1} and not again.kept(found)
+    for k in range(99):
+        again.fences.receipted(f"h{k}", "a.2", 1)
+    assert len(again.fences.receipts) <= 64
+
+
+def test_what_was_learnt_outlives_the_one_who_said_it_and_is_forgotten_in_the_end() -> None:
+    one, other = Box("a"), Box("b")
+    other.beats.beat(0, "i", beat())
+    one.beats.beat(0, "i", beat("draining"))
+    other.pull(one)
+    other.sync()
+    other.beats.tick(SECOND)  # it says so itself from now on
+    assert other.lives.said["i"]["b.1"].state == "draining"
+    other.lives.told(Told("a.1", "b/i", None))
+    assert other.lives.known["i"].state == "draining"
+    other.beats.tick(70 * SECOND)  # silent for long
+    assert "i" not in other.beats.lives and not other.lives.fenced("i")
+    assert other.beats.beat(71 * SECOND, "i", beat("up", 0)) != Taken(0)
+    other.beats.tick(170 * SECOND)
+    for now in (170 * SECOND, 170 * SECOND + KEEP_NS + 1):
+        other.fences.tick(now, other.lives.fenced, other.news.sources)
+    other.sync()
+    assert not other.fences.fences and not other.rows
+    few = Fences("me", 3)
+    for k in range(9):
+        few.told(k, Told("s", f"b/{k}", ["s", "h:1", "z", 1, "gone" if k else "draining", 1, 0, 0]))
+        batch = few.batch()
+        few.written()
+    assert len(few.fences) == 3 and few.state("0") == "draining" and batch is not None and batch.gone == {"6"}
+
+
+def test_malformed_news_fence_nobody() -> None:
+    fences = Fences("me")
+    for value in (None, 7, "draining", [], ["draining"] * 4, ["s", "h:1", "z", 2, ["gone"], 1, 0, 0]):
+        fences.told(0, Told("s", "b/i", value))
+    fences.told(0, Told("s", "f/i", ["s", "h:1", "z", 2, "gone", 1, 0, 0]))
+    assert not fences.fences and fences.batch() is None
+    fences.told(0, Told("s", "b/i", ["", "", "", 0, "gone", 0, 0, 0]))
+    fences.told(1, Told("t", "b/i", ["s", "h:1", "z", 2, "draining", 1, 0, 0]))  # it knows the address
+    assert fences.fences["i"].value[:5] == ("s", "h:1", "z", 2, "gone")
+
+
+def test_a_leave_of_an_id_that_nobody_knows_makes_no_life_and_ends_one_that_turns_up() -> None:
+    one, other = Box("a"), Box("b")
+    assert one.beats.leave(0, "made-up") == Taken(0) and not one.beats.lives and one.news.vector() == {}
+    assert one.beats.beat(1, "made-up", beat()) == Taken(0) and not one.beats.lives  # a late one
+    assert one.beats.leave(0, "") == one.beats.leave(0, "x" * 201) == Bad("no id")
+    other.beats.beat(0, "i", beat())
+    assert one.beats.leave(0, "i") == Taken(0)  # the news are on their way
+    one.pull(other)
+    one.beats.tick(SECOND)
+    assert one.beats.lives["i"].state == "gone" and one.fences.unsynced == {"i"}
+    other.beats.beat(0, "j", beat())
+    one.pull(other)
+    found = one.beats.leave(0, "j")
+    assert isinstance(found, Taken) and found.version and one.lives.known["j"].state == "gone"
+    for k in range(STRANGERS_MOST + 9):
+        one.beats.leave(2 * SECOND, f"x{k}")
+    assert len(one.beats.strangers) == STRANGERS_MOST and one.news.sources["a.1"].top < 5
+    one.beats.tick(3 * SECOND + KEEP_NS)
+    assert not one.beats.strangers
+
+
+def test_lives_that_call_here_are_bounded_and_who_was_silent_longest_gives_way() -> None:
+    box = Box("a")
+    for k in range(4):
+        assert box.beats.beat(k, f"i{k}", beat()) == Taken(0)
+    assert box.beats.beat(5, "i0", beat(calls=2)) == Taken(0)
+    assert box.beats.beat(6, "i4", beat()) == Full() and box.beats.leave(6, "i1") != Full()
+    later = 6 * SECOND
+    assert box.beats.beat(later, "i4", beat()) == Taken(0) and "i2" not in box.beats.lives
+    assert set(box.beats.lives) == {"i0", "i1", "i3", "i4"} and len(box.lives.known) == 4
+    long = {"svc": "s" * 201}, {"zone": "z" * 201}, {"ver": "v" * 201}
+    for field in long:
+        assert isinstance(box.beats.beat(0, "l", beat(details={**beat()["details"], **field})), Bad)
+    assert isinstance(box.beats.beat(0, "l", beat(addr="h" * 201 + ":1")), Bad)
+
+
+def test_both_forms_of_the_pages_names_are_one_life() -> None:
+    flat = {
+        "addr": "10.0.0.9:80",
+        "service": "s",
+        "version": "v1",
+        "zone": "north",
+        "slots": 2,
+        "state": "up",
+        "calls": 1,
+        "warmupMs": 0,
+    }
+    box = Box("a")
+    box.beats.beat(0, "nested", beat())
+    box.beats.beat(0, "flat", flat)
+    box.beats.beat(0, "mixed", {**beat(), "state": "draining", "svc": "other"})
+    values = [life.value() for life in box.beats.lives.values()]
+    assert len(values) == 3 and values[0] == values[1] == values[2]
+
+
+def test_a_leave_comes_long_after_the_drain_and_the_drain_stands_all_the_while() -> None:
+    box = Box("a")
+    box.beats.beat(0, "i", beat())
+    drained = box.beats.beat(SECOND, "i", beat("draining", 2))
+    for second in range(2, 90):
+        box.beats.tick(second * SECOND)
+        box.fences.tick(second * SECOND, box.lives.fenced, box.news.sources)
+        if second % 3 == 0 and second < 40:
+            assert box.beats.beat(second * SECOND, "i", beat("draining", second)) == drained
+        assert box.fences.state("i") == "draining"
+    assert box.beats.beat(91 * SECOND, "i", beat("up", 1)) != Taken(0)  # from before, and the latest of all
+    assert isinstance(box.beats.leave(92 * SECOND, "i"), Taken) and box.lives.known["i"].state == "gone"
+
+
+def test_an_address_at_which_a_beat_failed_is_not_named_for_a_while() -> None:
+    near = Nearby()
+    near.came(0, "i")
+    assert near.choose(0, "i", ["p:1", "q:1"]) == "p:1"
+    near.came(1, "i")  # it is back: p failed
+    assert near.choose(1, "i", ["p:1", "q:1"]) == "q:1" and near.choose(1, "j", ["p:1"]) is None
+    near.came(2, "i")
+    assert near.choose(2, "i", ["p:1", "q:1"]) is None and not near.named.get("i")
+    near.came(AVOID_NS + 1, "k")
+    assert near.choose(AVOID_NS + 1, "k", ["p:1"]) == "p:1" and set(near.until_ns) == {"q:1"}
+
+
+def test_sources_that_are_gone_take_their_words_along_unless_nobody_is_heard() -> None:
+    news, told = News("me"), list[Told]()
+    one, other = Box("a"), Box("b")
+    one.beats.beat(0, "i", beat())
+    other.beats.beat(0, "j", beat())
+    for box in (one, other):
+        for piece in box.news.lacks({}, "me"):
+            news.take(0, piece)
+    news.listeners.append(told.append)
+    assert news.expire(61 * SECOND) == [] and not told  # the silence is its own
+    news.sources["b.1"].moved_ns = 60 * SECOND
+    assert news.expire(61 * SECOND) == ["a.1"] and told == [Told("a.1", "b/i", None)]
+
+
+# -- the shell, with a real disk
+
+
+class Desk:
+    """A signalbox's desk for backends over a real disk; `others` disks' receipts are given by hand."""
+
+    def __init__(self, folder: Path, box: Box) -> None:
+        self.box, self.disk = box, Disk(folder)
+        self.lease, self.zone = True, list[str]()
+        self.fencing = Fencing(box.fences, self.disk, ThreadPoolExecutor(1), asyncio.ensure_future)
+
+        def kept(version: int) -> bool:
+            return box.fences.kept(version, ["b"], 1, True)
+
+        self.backends = Backends(box.beats, self.fencing, kept, lambda ident: self.zone, lambda: self.lease)
+
+    def beat(self, ident: str, state: str, calls: int) -> Coroutine[Any, Any, Answer]:
+        return self.backends.heartbeat(ident, json.dumps(beat(state, calls)).encode())
+
+    def receipt(self, version: int) -> None:
+        self.box.fences.receipted("b", "a.1", version)
+        self.fencing.moved()
+
+
+def run(what: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(20):
+            await what()
+
+    asyncio.run(bounded())
+
+
+def test_a_drain_that_was_acknowledged_is_in_the_file_as_the_power_goes(tmp_path: Path) -> None:
+    async def whole() -> None:
+        desk = Desk(tmp_path / "d", Box("a"))
+        assert (await desk.beat("i", "up", 1)).status == 200
+        waiting = asyncio.ensure_future(desk.beat("i", "draining", 2))
+        await until(lambda: desk.box.fences.state("i") == "draining", "it is taken")
+        desk.receipt(desk.box.news.sources["a.1"].top)
+        assert (await waiting).status == 200
+        shutil.copytree(tmp_path / "d", tmp_path / "after")  # nothing is closed
+        again = Box("a", 2, read(Disk(tmp_path / "after").fences()))
+        again.beats.beat(0, "i", beat("up", 1))
+        assert again.lives.known["i"].state == "draining"
+
+    run(whole)
+
+
+def test_a_disk_that_refuses_is_asked_again_and_nothing_is_acknowledged_before(tmp_path: Path) -> None:
+    async def whole() -> None:
+        desk = Desk(tmp_path / "d", Box("a"))
+        write, refusals = desk.disk.keep_fences, [True]
+
+        def refuse(rows: Any, gone: Any) -> None:
+            if refusals:
+                refusals.pop()
+                raise sqlite3.OperationalError("disk I/O error")
+            write(rows, gone)
+
+        desk.disk.keep_fences = refuse  # type: ignore[method-assign]
+        desk.receipt(99)
+        waiting = asyncio.ensure_future(desk.beat("i", "draining", 1))
+        await until(lambda: not refusals and desk.box.fences.writing is None, "it was refused")
+        assert not waiting.done() and not desk.disk.fences()
+        assert (await waiting).status == 200 and set(desk.disk.fences()) == {"i"}
+
+    run(whole)
+
+
+def test_one_that_is_cut_off_answers_at_once_and_sends_nobody_anywhere(tmp_path: Path) -> None:
+    async def whole() -> None:
+        desk = Desk(tmp_path / "d", Box("a"))
+        loop = asyncio.get_running_loop()
+        desk.zone, desk.lease = ["10.0.0.2:80"], False
+        assert await desk.beat("i", "up", 1) == Answer(200)
+        began = loop.time()
+        for found in (
+            await desk.beat("i", "draining", 2),
+            await desk.backends.leave("i", b""),
+            await desk.backends.leave("unknown", b""),
+        ):
+            assert found.status == 503 and 0 < found.retry_s < 1
+        assert loop.time() - began < 0.3
+        desk.receipt(99)
+        await until(lambda: desk.box.fences.level("a.1"), "it is on the own disk")
+        assert (await desk.backends.leave("i", b"")).status == 200  # what is on enough disks needs no lease
+        desk.lease = True
+        assert json.loads((await desk.beat("j", "up", 1)).body) == {"beatUrl": "10.0.0.2:80"}
+        assert await desk.beat("j", "up", 2) == Answer(200)  # that address has failed it
+        desk.zone = ["h" * 5000]
+        assert (await desk.beat("k", "up", 1)).body == b"{}"  # larger than an acknowledgement may be
+        assert (await desk.backends.leave("unknown", b"")).status == 200
+        began = loop.time()
+        desk.box.fences.receipts.clear()
+        assert (await desk.beat("m", "draining", 1)).status == 503 and loop.time() - began < 0.95
+
+    run(whole)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b"{" * 99999, b'{"details":[],"status":7}'])
+def test_a_beat_without_sense_is_one_short_refusal(tmp_path: Path, body: bytes) -> None:
+    async def whole() -> None:
+        found = await Desk(tmp_path / "d", Box("a")).backends.heartbeat("i", body)
+        assert found.status == 400 and len(found.body) < 300
+
+    run(whole)
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -166,14 +166,15 @@
     news(middle, source)
     assert [p.whole for p in news(reader, middle) if p.source == "s"] == [True]  # it fell behind
     assert reader.sources["s"].top == source.sources["s"].top and not news(reader, middle)
-    source.asked("peer", reader.own_vector())
-    assert source.holders(source.sources["s"].top) == {"peer"} and not source.holders(10**6)
-    assert reader.expire(FORGET_NS + 1) == ["s", "m"] or set(reader.sources) == {"r"}
+    middle.say("pulse", 1)
+    news(reader, middle, FORGET_NS)
+    assert reader.expire(FORGET_NS + 1) == ["s"] and set(reader.sources) == {"r", "m"}
 
 
 def test_a_mutated_message_between_controllers_is_garbled_or_harmless() -> None:
     me = Card("a", "10.0.0.1", 7000, "north", True, "a.1", 5)
-    pull = post.Pull(me, (me,), {"s": 3}, 1, 100, [[["i", 1, 0, 5, 1, 1, 0]], [["s", 1]]])
+    figures = [[["i", 1, 0, 5, 1, 1, 0]], [["s", 1]]]
+    pull = post.Pull(me, (me,), {"s": 3}, 1, 100, figures, ("b.1", 7))
     answer = post.News(me, (me,), (Piece("s", True, 3, ((3, "k", 1),)),), True, (2, b"{}"))
     garbled = 0
     for whole, read in ((pull, post.read_pull), (answer, post.read_news)):
