The operators' words can be called as printed, tell their usage, and list members

Cause: `./try` printed `meadowworks status`, which is on no path; `config get ADDRESS` and `config put ADDRESS FILE` were refused without the usage; `| head` ended in a traceback; an idle junction logged two empty lines every 10 s. Change: `local` prints what may be typed in the project's folder; config takes its address as a word (--at holds on); a reader that has gone ends a command with 141 and no word; the junction's counters are logged when they have moved. New: `members list ADDRESS`: members of the newest epoch that anyone tells of, and why one is not in.

--- a/meadowworks/commands.py
+++ b/meadowworks/commands.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import importlib
 import io
+import os
 import sys
 from collections.abc import Sequence
 
@@ -13,6 +15,7 @@
     "local": ("meadowworks.local.commands", "local", "start a small gateway on this machine, to try it"),
     "status": ("meadowworks.operate.commands", "status", "what a controller of the gateway knows"),
     "why": ("meadowworks.operate.commands", "why", "what a junction's last decisions on a service rest on"),
+    "members": ("meadowworks.operate.members", "members", "who votes, and why one is not in"),
     "nodes": ("meadowworks.operate.commands", "nodes", "the controllers that a signalbox knows"),
     "backends": ("meadowworks.operate.commands", "backends", "the backends that a controller knows"),
     "config": ("meadowworks.operate.commands", "config", "check, put, get or diff a configuration"),
@@ -39,8 +42,17 @@
 
 
 def main(words: Sequence[str] | None = None) -> int:
-    """Runs a command. Its status is 0 when all holds, 1 when what it asks does not, 2 on bad input."""
-    words = sys.argv[1:] if words is None else words
+    """Runs a command. Its status is 0 when all holds, 1 when what it asks does not, 2 on bad input, 141 where
+    whoever read its output has gone."""
+    try:
+        status = spoken(sys.argv[1:] if words is None else words)
+        sys.stdout.flush()
+        return status
+    except BrokenPipeError:
+        return unread()
+
+
+def spoken(words: Sequence[str]) -> int:
     if not words or words[0] in ("--help", "-h", "help"):
         print(listing())
         return 0
@@ -62,12 +74,19 @@
     except (Bad, ValueError) as trouble:
         return bad(str(trouble))
     except cappa.Exit as end:
-        return bad(str(end.message)) if end.code else 0
+        return bad(f"{end.message}; `meadowworks {words[0]} --help` tells the usage") if end.code else 0
     except KeyboardInterrupt:
         return 130
     return status if isinstance(status, int) else 0
 
 
+def unread() -> int:
+    """No more is said, not at the process's end either."""
+    with contextlib.suppress(OSError, ValueError):
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    return 141
+
+
 def bad(why: str) -> int:
     print(f"meadowworks: {' '.join(why.split())}", file=sys.stderr)
     return 2
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -69,6 +69,7 @@
         self.ready = self.leaving = False
         self.random = random.Random()
         self.counts: dict[str, int] = {}
+        self.summed: dict[str, int] = {}  # counts when they were last logged
         self.tasks = Tasks()
         self.room = Room(int(boot.mem_mb * 1e6 * BODIES))
         self.door = Door(self.app, most=int(boot.max_fds * CLIENTS))
@@ -209,9 +210,13 @@
         self.yard.sweep(now, set(self.lives.known))
 
     def summary(self) -> None:
-        log.info("answers {}, {} at work", self.counts, self.door.at_work())
+        """Counters, if there is anything to tell since the last time."""
+        if self.counts != self.summed or self.door.at_work():
+            log.info("answers {}, {} at work", self.counts, self.door.at_work())
+            self.summed = dict(self.counts)
         windows = {name: budget.window(now_ns()) for name, budget in self.budgets.items()}
-        log.info("further tries of requests in the window: {}", windows)
+        if any(map(any, windows.values())):
+            log.info("further tries of requests in the window: {}", windows)
 
     def half(self) -> None:
         now = now_ns()
--- a/meadowworks/local/commands.py
+++ b/meadowworks/local/commands.py
@@ -55,6 +55,21 @@
     return subprocess.Popen([sys.executable, "-m", program], env=env)
 
 
+def to_try(plan: Plan) -> list[str]:
+    """What a newcomer may call, as it is to be typed in the project's folder."""
+    python = Path(sys.executable)
+    word = f"{python.relative_to(ROOT) if python.is_relative_to(ROOT) else python} -m meadowworks"
+    box, junction = plan.host(0), plan.https()[0][0]
+    return [
+        f"curl -H 'Host: local.example' http://{junction}:{plan.ports.http}/read/x",
+        f"{word} status {box}:{plan.ports.inner} --all",
+        f"{word} members list {box}:{plan.ports.inner}",
+        f"{word} backends {junction}:{plan.ports.inner}",
+        f"{word} why lookup {junction}:{plan.ports.inner}",
+        f"{word} config get {box}:{plan.ports.ctl}",
+    ]
+
+
 async def backends(plan: Plan, parts: list[subprocess.Popen[bytes]], seconds: float) -> int:
     """Stand-ins in this process: two of each service in each zone."""
     made = [
@@ -84,12 +99,9 @@
                 continue
             if told:
                 at = " or ".join(f"{h}:{p}" for h, p in plan.https())
-                print(
-                    f"the gateway serves at {at}; try:\n  curl -H 'Host: local.example' "
-                    f"http://{plan.https()[0][0]}:{plan.ports.http}/read/x\n"
-                    f"  meadowworks status {host}:{plan.ports.inner}\nCtrl-C ends all",
-                    flush=True,
-                )
+                lines = "\n".join(f"  {line}" for line in to_try(plan))
+                print(f"the gateway serves at {at}; try, in this folder:\n{lines}", flush=True)
+                print("Ctrl-C ends all", flush=True)
         return max((part.poll() or 0) for part in parts)
     finally:
         for task in tasks:
--- a/meadowworks/operate/commands.py
+++ b/meadowworks/operate/commands.py
@@ -222,19 +222,31 @@
     return [] if old == new else [f"{at}: {json.dumps(old)} -> {json.dumps(new)}"]
 
 
+USAGE = {
+    "check": "config check FILE",
+    "put": "config put ADDRESS FILE",
+    "get": "config get ADDRESS",
+    "diff": "config diff ADDRESS FILE",
+}
+
+
 def config(
     action: Annotated[str, Arg(help="check, put, get or diff")],
-    file: Annotated[Path | None, Arg(help="the configuration, as JSON; for check, put and diff")] = None,
-    at: Annotated[str, Arg(long=True, help="a ctl address; for put, get and diff")] = "",
+    words: Annotated[
+        tuple[str, ...], Arg(help="a ctl address (put, get, diff), then a file (check, put, diff)")
+    ] = (),
+    at: Annotated[str, Arg(long=True, help="the ctl address, if it is not among the words")] = "",
 ) -> int:
     """Checks a configuration here, puts it into force, gets the one in force, or tells how a file differs
-    from it. Status 1: refused, or it differs."""
-    if action not in ("check", "put", "get", "diff"):
-        raise Bad(f"there is no {action!r}: there are check, put, get and diff")
-    if (action != "get") != (file is not None):
-        raise Bad(f"{action} wants {'no file' if action == 'get' else 'a file'}")
-    if (action != "check") != bool(at):
-        raise Bad(f"{action} wants {'no address' if action == 'check' else 'an address: --at ip:port'}")
+    from it: config check FILE, config put ADDRESS FILE, config get ADDRESS, config diff ADDRESS FILE.
+    Status 1: refused, or it differs."""
+    if action not in USAGE:
+        raise Bad(f"there is no {action!r}; usage: {', or '.join(USAGE.values())}")
+    given = [*([at] if at else []), *words]
+    if len(given) != len(USAGE[action].split()) - 2:
+        raise Bad(f"{action} wants other words; usage: meadowworks {USAGE[action]}")
+    at = given[0] if action != "check" else ""
+    file = Path(given[-1]) if action != "get" else None
     if action == "get":
         reply = call(at, b"GET", b"/api/Config.Read")
         print(reply.body.decode("utf-8", "replace"))
