A model of its own for drains on slow disks, and a loss of all power over loopback

Cause: with writes that take their time the telegraph model grew to 71,172 states and two minutes; guards of the write's order want paths of up to ten steps, which it reached late. Change: `check roster`: two boxes whose writes begin, end and are refused in steps of their own, pulls with receipts, late and lost replies, losses of power; telegraph goes on with fast disks. Scenario in fleet.feature: every program is killed after the acknowledgement, the disk where it was given is lost, and a late beat brings the life back nowhere.

--- a/meadowworks/check/runs.py
+++ b/meadowworks/check/runs.py
@@ -12,7 +12,16 @@
 from meadowworks.check import faults, plain
 from meadowworks.check.explore import explore, replay
 from meadowworks.check.model import Broken, Model, Result
-from meadowworks.check.models import attempt, carriage, connection, grants, module, telegraph, timetable
+from meadowworks.check.models import (
+    attempt,
+    carriage,
+    connection,
+    grants,
+    module,
+    roster,
+    telegraph,
+    timetable,
+)
 from meadowworks.check.paths import Kept
 
 MODELS: dict[str, Callable[[bool], Model]] = {
@@ -23,6 +32,7 @@
     "timetable": timetable.model,
     "carriage": carriage.model,
     "telegraph": telegraph.model,
+    "roster": roster.model,
 }
 FAULT_MOST = 1 << 19  # states looked at for a fault; none needs as many
 
--- a/tests/gateway/features/fleet.feature
+++ b/tests/gateway/features/fleet.feature
@@ -18,6 +18,13 @@
     When a junction is told to end with a request at work
     Then that request is answered, whole, and its connection ends
 
+  Scenario: All power is lost right after a drain was acknowledged
+    Given a gateway whose backends beat
+    When version 1 is sent to the first signalbox
+    And a backend drains at the second signalbox
+    And every program is killed and starts again, and one disk is lost
+    Then a late beat does not bring it back anywhere
+
   Scenario: An operator asks what is going on
     Given a gateway whose backends beat
     When version 1 is sent to the first signalbox
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -289,6 +289,35 @@
     assert node.table.version == 7 and node.table.find("local.example", "/new/a") is None
 
 
+@when("every program is killed and starts again, and one disk is lost")
+def all_lost(fleet: Fleet) -> None:
+    async def whole() -> None:
+        for place in range(5):
+            await fleet.kill(place)
+        shutil.rmtree(fleet.folder / "disk-1")  # where the drain was acknowledged
+        for place in range(5):
+            await fleet.start(place, bootstrap=False)
+        await until(lambda: all(fleet.nodes[k].sure() for k in (0, 2)), "two know each other")
+
+    fleet.run(whole())
+
+
+@then("a late beat does not bring it back anywhere")
+def not_back(fleet: Fleet) -> None:
+    backend = fleet.backends[0]
+    backend.state, backend.calls = "up", 0
+    nodes = [fleet.nodes[k] for k in (0, 2, 3, 4)]
+
+    async def whole() -> None:
+        await until(lambda: all("b0" in node.lives.known for node in nodes), "all know of it")
+        for place in (0, 2):
+            assert await backend.beat(fleet.plan.ctls()[place]) == 200
+        await until(lambda: nodes[3].is_ready(), "it is ready")
+
+    fleet.run(whole())
+    assert {node.lives.known["b0"].state for node in nodes} == {"draining"}
+
+
 @then("the words tell of nodes, backends and reasons, in columns and as one object")
 def words(fleet: Fleet, capsys: pytest.CaptureFixture[str]) -> None:
     box, junction = (f"{fleet.plan.host(k)}:{fleet.plan.ports.inner}" for k in (0, 3))
