A receipt during a write is tested by itself; fences are looked over four times in their time

Cause: the guard "a write's receipt goes as it begins" was found by `check roster` alone, and each second went over all fences (8,192 at most) and all that sources say of them.

--- a/meadowworks/roster/fences.py
+++ b/meadowworks/roster/fences.py
@@ -15,6 +15,7 @@
 from meadowworks.telegraph.news import Told
 
 FENCES_MOST = 8192  # beyond it the oldest that are on disk go, those that are gone first
+LOOK_NS = KEEP_NS // 4  # after which it is looked whether somebody still says so
 RECEIPTS_MOST = 64  # hosts that a receipt is kept of
 STATE, ADDRESS = 4, 1  # places in a life's value, as news say it
 
@@ -174,6 +175,8 @@
         """Forgets what nobody has said for long. `said`: whether a source still says that a life is draining
         or gone; `sources`: those that are still known."""
         for ident, fence in list(self.fences.items()):
+            if now - fence.heard_ns < LOOK_NS:
+                continue
             if said(ident):
                 self.fences[ident] = replace(fence, heard_ns=now)
             elif now - fence.heard_ns > KEEP_NS and ident not in self.unsynced:
--- a/tests/gateway/test_roster.py
+++ b/tests/gateway/test_roster.py
@@ -118,6 +118,11 @@
     first = one.beats.beat(0, "i", beat("draining"))
     other.pull(one)
     batch = other.fences.batch()
+    one.sync()
+    one.news.say("pulse", 1)
+    other.pull(one)
+    other.pull(one)
+    assert not one.kept(first)  # newer news that need no write say nothing of the one under way
     second = one.beats.beat(0, "j", beat("draining"))
     third = one.beats.beat(0, "k", beat("draining"))
     other.pull(one)
