The stand-in backend follows beatUrl until a beat fails there, and takes 4 KiB of an answer

Cause: no test over loopback took a beatUrl up, so that of one that fails could not be caused. Change: local/backend.py keeps the address that it was told, and goes back to its list after a failure there; scenario: the signalbox that was named is killed while its card is fresh, and is not named again.

--- a/meadowworks/local/backend.py
+++ b/meadowworks/local/backend.py
@@ -12,6 +12,8 @@
 from meadowworks.track.errors import NoAnswer
 from meadowworks.track.line import connect
 
+ACK_MOST = 4096  # bytes of an answer: a larger one acknowledges nothing
+
 
 class Backend:
     """One life. `ran` lists the ids of the requests that it has run, each as often as it ran."""
@@ -28,6 +30,7 @@
         self.ident, self.svc, self.zone, self.host, self.capacity = ident, svc, zone, host, capacity
         self.work = work
         self.state, self.calls, self.running = "up", 0, 0
+        self.named: tuple[str, int] | None = None  # where it was asked to call (`beatUrl`), until that fails
         self.ran: list[str] = []
         self.door = Door(self.app)
         self.port = 0
@@ -74,18 +77,23 @@
             try:
                 async with asyncio.timeout(1.0):
                     headers = [(b"host", b"ctl"), (b"content-length", str(len(body)).encode())]
-                    return (await line.ask(b"POST", path, headers, body, 65536)).status
+                    reply = await line.ask(b"POST", path, headers, body, ACK_MOST)
+                    if reply.status == 200 and not leave and (at := json.loads(reply.body).get("beatUrl")):
+                        self.named = at.rpartition(":")[0], int(at.rpartition(":")[2])
+                    return reply.status
             finally:
                 line.close()
         except (NoAnswer, TimeoutError):
             return 0
 
     async def beats(self, ctls: list[tuple[str, int]], every_s: float) -> None:
-        """Beats for ever, at the next signalbox after one that does not acknowledge."""
+        """Beats for ever: where it was asked to, else at the next signalbox after one that fails."""
         place = sum(self.ident.encode()) % len(ctls)
         while True:
-            if await self.beat(ctls[place]) != 200:
-                place = (place + 1) % len(ctls)
+            if await self.beat(self.named or ctls[place]) != 200:
+                if self.named is None:
+                    place = (place + 1) % len(ctls)
+                self.named = None
             await asyncio.sleep(every_s)
 
     def end(self) -> None:
--- a/tests/gateway/features/fleet.feature
+++ b/tests/gateway/features/fleet.feature
@@ -25,6 +25,11 @@
     And every program is killed and starts again, and one disk is lost
     Then a late beat does not bring it back anywhere
 
+  Scenario: A backend is asked to call a signalbox of its zone, and that one fails
+    Given a gateway whose backends beat
+    When a backend of the south beats at the first signalbox, which is of the north
+    Then it is asked to call the second, until a beat fails there
+
   Scenario: An operator asks what is going on
     Given a gateway whose backends beat
     When version 1 is sent to the first signalbox
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -289,6 +289,26 @@
     assert node.table.version == 7 and node.table.find("local.example", "/new/a") is None
 
 
+@when("a backend of the south beats at the first signalbox, which is of the north")
+def beats_abroad(fleet: Fleet) -> None:
+    assert fleet.run(fleet.backends[1].beat(fleet.plan.ctls()[0])) == 200
+
+
+@then("it is asked to call the second, until a beat fails there")
+def asked_to_call(fleet: Fleet) -> None:
+    backend, (first, second, _) = fleet.backends[1], fleet.plan.ctls()
+
+    async def whole() -> None:
+        assert backend.named == second and await backend.beat(second) == 200
+        await fleet.kill(1)
+        backend.named = None
+        assert await backend.beat(second) == 0 and await backend.beat(first) == 200
+        # Its card is fresh yet, but it has failed one that was sent there.
+        assert [c.host for c in fleet.nodes[0].members.voters()].count(second[0]) and backend.named is None
+
+    fleet.run(whole())
+
+
 @when("every program is killed and starts again, and one disk is lost")
 def all_lost(fleet: Fleet) -> None:
     async def whole() -> None:
