A configuration is read and checked in steps; its verdicts stay the schema's own

Cause: check(body) reads 52,000 routes by marshmallow (57 us each) after json.loads, all in one turn of the event loop: 2.6 to 3.0 s here (check 2,959 ms, of it json.loads 101 ms, schema 2,978 ms), nobody is answered.

--- /dev/null
+++ b/meadowworks/track/aside.py
@@ -0,0 +1,60 @@
+"""Long work beside the loop: driven step by step, with the loop's turn given back every few milliseconds.
+
+No thread: all threads of a process share one interpreter lock and, on the users' machines, one core, and a
+call into a library may hold that lock for as long as it takes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import zlib
+from collections.abc import Generator
+from typing import TypeVar
+
+SLICE_S = 0.003  # after so long the loop has its turn: eight such works at once keep it for 24 ms
+BLOCK = 1 << 16  # bytes that are compressed in one step
+T = TypeVar("T")
+Steps = Generator[None, None, T]
+
+
+async def aside(steps: Steps[T]) -> T:
+    """The outcome of all steps. What is done within a slice never waits."""
+    end = time.monotonic() + SLICE_S
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return done.value  # type: ignore[no-any-return]
+        if time.monotonic() >= end:
+            await asyncio.sleep(0)
+            end = time.monotonic() + SLICE_S
+
+
+def deflating(raw: bytes, level: int = 6) -> Steps[bytes]:
+    """What `zlib.decompress` makes `raw` of."""
+    if len(raw) <= BLOCK:
+        return zlib.compress(raw, level)
+    deflate, parts = zlib.compressobj(level), []
+    for at in range(0, len(raw), BLOCK):
+        parts.append(deflate.compress(raw[at : at + BLOCK]))
+        yield
+    parts.append(deflate.flush())
+    return b"".join(parts)
+
+
+def inflating(packed: bytes, most: int) -> Steps[bytes]:
+    """Raises zlib.error for what is cut short, is none, or holds more than `most` bytes."""
+    inflate, parts, size = zlib.decompressobj(), [], 0
+    left = packed
+    while not inflate.eof:
+        parts.append(inflate.decompress(left, BLOCK))
+        left = inflate.unconsumed_tail
+        size += len(parts[-1])
+        if size > most:
+            raise zlib.error("more than may be")
+        if not left and not parts[-1] and not inflate.eof:
+            raise zlib.error("cut short")
+        if len(parts) % 4 == 0:
+            yield
+    return b"".join(parts)
--- /dev/null
+++ b/tests/gateway/test_long.py
@@ -0,0 +1,230 @@
+"""Long work in steps: the verdicts are the schema's own, the values the library's, others have their turn."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import random
+import zlib
+from typing import Any
+
+import pytest
+from marshmallow import ValidationError
+
+from meadowworks.timetable import check as check_
+from meadowworks.timetable import reading as reading_
+from meadowworks.timetable.check import Invalid, Valid, Whole, check, checking, sentence, wrong
+from meadowworks.timetable.reading import at_once, reading
+from meadowworks.timetable.routes import load, loading
+from meadowworks.track import aside as aside_
+from meadowworks.track.aside import aside, deflating, inflating
+from tests.gateway.test_state import mutants
+
+ROUTE = {"name": "a", "prefix": "/a/", "type": "safe", "deadlineMs": 900, "targetMs": 200.5, "prio": 1}
+CONFIG: dict[str, Any] = {
+    "ver": "0000000c",
+    "svcs": [{"name": "s", "healthPath": "/h", "maxConns": 9, "tls": False}, {"name": "t"}],
+    "limits": {"maxHeaderBytes": 9, "maxBodyBytes": 9, "headerTimeoutMs": 9, "idleTimeoutMs": 9},
+    "vhosts": [
+        {
+            "host": "One.example",
+            "prefixes": [
+                {**ROUTE, "split": [{"svc": "s", "weight": 9}, {"svc": "t", "weight": 0.5}], "tries": 2},
+                {**ROUTE, "name": "b", "prefix": "/a/b/", "type": "unsafe", "svc": "t"},
+            ],
+        },
+        {"host": "two.example", "prefixes": [{**ROUTE, "name": "c", "svc": "s", "more": [{}]}]},
+    ],
+}
+
+
+def plain(body: bytes) -> Valid | Invalid:
+    """The check as it was: the schema reads all, then what it can't see is looked for."""
+    try:
+        nested = json.loads(body)
+    except (ValueError, RecursionError):
+        return Invalid("it cannot be read whole")
+    try:
+        found = Whole().load(nested)
+    except ValidationError as trouble:
+        return Invalid(sentence(trouble.messages))
+    services = [s["name"] for s in found["svcs"]]
+    if len(set(services)) < len(services):
+        return Invalid("a service stands there twice")
+    seen: set[tuple[str, str]] = set()
+    names: set[str] = set()
+    for host in found["vhosts"]:
+        for route in host["prefixes"]:
+            if why := wrong(route, set(services)):
+                return Invalid(f"route {route['name']}: {why}")
+            place = (host["host"].lower(), route["prefix"])
+            if place in seen or route["name"] in names:
+                return Invalid(f"route {route['name']}: its name or its place is another's too")
+            seen.add(place)
+            names.add(route["name"])
+    return Valid(int(found["ver"], 16))
+
+
+ODD: tuple[Any, ...] = (
+    *(0, 0.0, -0.0, 1e999, -1, 1e-9, 60_900, 60_899.9, 10**400, 1e15, 2**70, float("nan")),
+    *("2", "x", "", " ", "/", "/a/", "a", "s", "t", "safe", "ONE.example", "0000000C", "0000000c\n"),
+    *(None, True, False, [], {}, [[]], [None]),
+    *([{"svc": "s", "weight": w}] for w in (0, "1", True, -1, 1e999)),
+)
+
+
+def odd(chance: random.Random, value: Any) -> Any:
+    """What may stand in a value's place: figures at the bounds, other kinds, what is another's."""
+    return chance.choice([*ODD, value, [value], [value, value], {"a": value}])
+
+
+def places(whole: Any) -> list[tuple[Any, Any]]:
+    rows = list(whole.items()) if isinstance(whole, dict) else list(enumerate(whole))
+    inner = [p for _, v in rows if isinstance(v, dict | list) for p in places(v)]
+    return [(whole, key) for key, _ in rows] + inner
+
+
+@pytest.mark.parametrize("window", [4, 90, 8192])
+def test_the_verdict_on_a_mutated_configuration_is_the_schemas_own(
+    window: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(reading_, "WINDOW", window)
+    chance, valid, whys = random.Random(window), 0, set()
+    drawn = [mutant for _, mutant in mutants(CONFIG)]
+    for _ in range(700):
+        drawn.append(copy.deepcopy(CONFIG))
+        for _ in range(chance.choice([1, 1, 1, 2, 3])):  # more at once: which of them is named
+            holder, key = chance.choice(places(drawn[-1]))
+            if chance.random() < 0.2:
+                del holder[key]
+            else:
+                holder[key] = odd(chance, holder[key])
+            if not drawn[-1]:
+                break
+    for mutant in drawn:
+        body = json.dumps(mutant, indent=chance.choice([None, 1])).encode()
+        found = check(body)
+        assert found == plain(body), body
+        if isinstance(found, Valid):
+            valid += 1
+            assert sum(map(len, load(body).hosts.values())) == sum(
+                len(h["prefixes"]) for h in mutant["vhosts"]
+            )
+        else:
+            whys.add(found.why)
+    assert valid > 60 and len(whys) > 90
+
+
+@pytest.mark.parametrize(
+    "at, value, why",
+    [
+        (("ver",), "c", "ver: is not eight hexadecimal digits"),
+        (("limits",), None, "limits: Field may not be null."),
+        (("svcs", 1, "name"), "s", "a service stands there twice"),
+        (("svcs", 1, "maxConns"), -1, "svcs.1.maxConns: Must be greater than or equal to 0."),
+        (("vhosts",), {}, "vhosts: Not a valid list."),
+        (("vhosts", 1), None, "vhosts.1: Field may not be null."),
+        (("vhosts", 1, "host"), "", "vhosts.1.host: Shorter than minimum length 1."),
+        (("vhosts", 1, "prefixes", 0), 7, "vhosts.1.prefixes.0._schema: Invalid input type."),
+        (
+            ("vhosts", 0, "prefixes", 1, "prefix"),
+            "a",
+            "vhosts.0.prefixes.1.prefix: does not begin with a slash",
+        ),
+        (("vhosts", 0, "prefixes", 1, "name"), "a", "route a: its name or its place is another's too"),
+        (("vhosts", 0, "prefixes", 1, "svc"), "u", "route b: service u is unknown"),
+        (
+            ("vhosts", 0, "prefixes", 1, "targetMs"),
+            60_900,
+            "route b: its targetMs lies a minute or more over its",
+        ),
+        (("vhosts", 0, "prefixes", 0, "split", 0, "svc"), "u", "route a: service u is unknown"),
+        (("vhosts", 0, "prefixes", 0, "svc"), "s", "route a: it wants a service or a split"),
+        (
+            ("vhosts", 0, "prefixes", 1, "deadlineMs"),
+            0,
+            "vhosts.0.prefixes.1.deadlineMs: Must be greater than 0.",
+        ),
+        (("vhosts", 0, "prefixes", 1, "deadlineMs"), "900", None),
+    ],
+)
+def test_verdicts_word_for_word(at: tuple[Any, ...], value: Any, why: str | None) -> None:
+    mutant = holder = copy.deepcopy(CONFIG)
+    for key in at[:-1]:
+        holder = holder[key]
+    holder[at[-1]] = value
+    found = check(json.dumps(mutant).encode())
+    assert found == Valid(12) if why is None else isinstance(found, Invalid) and found.why.startswith(why)
+
+
+def test_a_text_read_in_steps_is_what_the_library_reads(monkeypatch: pytest.MonkeyPatch) -> None:
+    texts = [
+        json.dumps(CONFIG).encode(),
+        b' {"a" : [ ] , "b":{ },"c":[[[[]]]], "d":"x\\u00e9\\"}{,", "d":[1.5e3,-0,true,null,NaN]} ',
+        '\ufeff[1, "\u4e2d", {"k": 12345678901234567890}]'.encode(),
+        '["a",{}]'.encode("utf-16"),
+        b"[" * 3000,
+    ]
+    chance, broken = random.Random(5), 0
+    for turn in range(4000):
+        monkeypatch.setattr(reading_, "WINDOW", chance.choice([3, 9, 40]))
+        text = bytearray(texts[turn % len(texts)])
+        for _ in range(chance.randrange(3)):
+            at = chance.randrange(len(text) or 1)
+            kept = chance.choice(
+                [text[at : at + 1], b"", chance.choice([b"{", b"}", b"]", b'"', b",", b":", b"\\", b"0"])]
+            )
+            text[at : at + chance.choice([0, 1])] = kept
+            if chance.random() < 0.1:
+                del text[at:]
+        try:
+            value = json.loads(bytes(text))
+        except (ValueError, RecursionError):
+            broken += 1
+            with pytest.raises((ValueError, RecursionError)):
+                at_once(reading(bytes(text)))
+        else:
+            assert repr(at_once(reading(bytes(text)))) == repr(value)
+    assert 1000 < broken < 3500
+
+
+def test_others_have_their_turn_while_a_large_configuration_is_checked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    routes = [{**ROUTE, "name": f"r{n}", "prefix": f"/{n}/", "svc": "s"} for n in range(1000)]
+    body = json.dumps({**CONFIG, "vhosts": [{"host": "h", "prefixes": routes}]}).encode()
+    packed = at_once(deflating(body))
+    assert zlib.decompress(packed) == body and at_once(inflating(packed, len(body))) == body
+    for short in (packed[:-9], b"", packed[1:]):
+        with pytest.raises(zlib.error):
+            at_once(inflating(short, len(body)))
+    with pytest.raises(zlib.error):
+        at_once(inflating(packed, 1000))
+
+    async def turns_while(work: Any) -> tuple[Any, int]:
+        task, turns = asyncio.ensure_future(work), 0
+        while not task.done():
+            await asyncio.sleep(0)
+            turns += 1
+        return task.result(), turns
+
+    async def whole() -> None:
+        monkeypatch.setattr(aside_, "SLICE_S", 0.0)
+        found, turns = await turns_while(aside(checking(body)))
+        assert found == Valid(12) and turns > 60
+        table, turns = await turns_while(aside(loading(body)))
+        assert (
+            table == load(body)
+            and len(table.hosts["h"]) == 1000
+            and table.targets == {"s": 200.5}
+            and turns > 60
+        )
+        found, turns = await turns_while(aside(checking(body[:-1])))
+        assert found == Invalid("it cannot be read whole")
+        monkeypatch.setattr(aside_, "SLICE_S", 60.0)
+        found, turns = await turns_while(aside(checking(json.dumps(CONFIG).encode())))
+        assert found == Valid(12) and turns <= 2  # what is done within a slice waits for nobody
+
+    asyncio.run(whole())
+    assert check_.WHOLE.fields.keys() == {"ver", "svcs", "limits", "vhosts"}
