A short start: what the libraries import for uses that the programs never make is left out

Lines take no lock and no shield from anyio: they carry one request at a time and end without waiting.

--- /dev/null
+++ b/meadowworks/track/lean.py
@@ -0,0 +1,71 @@
+"""A short start: what libraries import or compile for uses that the gateway's programs never make of them.
+
+After a loss of all power a process serves nobody while it imports; that is nearly all of a start. `start` is
+called before anything else is imported. Whoever uses what is left out gets a BrokenInvariant.
+"""
+
+from __future__ import annotations
+
+import re
+import sys
+from types import ModuleType
+from typing import Any
+
+from meadowworks.track.errors import BrokenInvariant
+
+# httpcore imports trio where it finds it: half of a start.
+ABSENT = ("trio",)
+# By module: the names that another library takes from it at its own import.
+UNUSED = {
+    "uvicorn.main": ("Server", "main", "run"),  # uvicorn's command line, and click for it
+    "certifi": (),  # certificates: httpcore's calls go without TLS here
+    "logging.config": (),  # uvicorn's own set-up of logs, which it is told to leave
+}
+PATTERNS = "marshmallow.validate"  # a pattern of mail addresses takes longer than all else in it
+
+
+class Unused(ModuleType):
+    """Stands for a module that is left out."""
+
+    def __getattr__(self, name: str) -> Any:
+        if name.startswith("__"):
+            raise AttributeError(name)
+        raise BrokenInvariant(f"{self.__name__}.{name} is left out of the programs")
+
+
+class Later:
+    """A pattern that is compiled when it is first used."""
+
+    def __init__(self, pattern: str, flags: int) -> None:
+        self.pattern, self.flags = pattern, flags
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(re.compile(self.pattern, self.flags), name)
+
+
+def start() -> None:
+    for name in ABSENT:
+        sys.modules.setdefault(name, None)  # type: ignore[arg-type]
+    for name, taken in UNUSED.items():
+        if name not in sys.modules:
+            sys.modules[name] = module = Unused(name)
+            for one in taken:
+                setattr(module, one, None)
+    patterns()
+
+
+def patterns() -> None:
+    """Imports marshmallow with its own patterns to be compiled later."""
+    if PATTERNS in sys.modules:
+        return
+    compiled = re.compile
+
+    def later(pattern: Any, flags: Any = 0) -> Any:
+        asked = sys._getframe(1).f_globals.get("__name__")
+        return Later(pattern, flags) if asked == PATTERNS else compiled(pattern, flags)
+
+    re.compile = later
+    try:
+        __import__(PATTERNS)
+    finally:
+        re.compile = compiled
--- a/meadowworks/track/line.py
+++ b/meadowworks/track/line.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 from collections.abc import Sequence
+from contextlib import nullcontext
 from dataclasses import dataclass
 from typing import Any
 
@@ -18,9 +19,14 @@
 sys.modules.setdefault("trio", None)  # type: ignore[arg-type]  # httpcore imports it where it finds it: half of a start
 import httpcore  # noqa: E402
 from httpcore import AsyncHTTP11Connection, Origin, Request  # noqa: E402
+from httpcore._async import http11  # noqa: E402
 
 from meadowworks.track.errors import NoAnswer  # noqa: E402
 
+# httpcore takes its lock and its shield from anyio, whose import is most of a first call. A line carries
+# one request at a time, and its stream ends without waiting: neither has anything to guard.
+http11.AsyncShieldCancellation = nullcontext  # type: ignore[attr-defined, assignment]
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -105,6 +111,10 @@
 
     surplus = False
 
+    def __init__(self, origin: Origin, stream: Stream) -> None:
+        super().__init__(origin, stream)
+        self._state_lock = nullcontext()  # type: ignore[assignment]
+
     async def _response_closed(self) -> None:
         self.surplus = self.surplus or bool(self._h11_state.trailing_data[0])
         await super()._response_closed()
--- /dev/null
+++ b/tests/gateway/test_start.py
@@ -0,0 +1,65 @@
+"""A start: what is left out of it, and that nothing of it is missed."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+
+import pytest
+
+from meadowworks.track import lean
+from meadowworks.track.errors import BrokenInvariant
+
+PROGRAM = """
+import sys
+from meadowworks.track import lean
+lean.start()
+import asyncio
+import meadowworks.junction.program, meadowworks.signalbox.program
+from marshmallow import Schema, ValidationError, fields
+from meadowworks.track.door import Door, answer
+from meadowworks.track.errors import NoAnswer
+from meadowworks.track.peer import Peer
+
+async def app(scope, receive, send):
+    if scope["path"] == "/rest":
+        return await answer(send, 200, b"whole")
+    await asyncio.get_running_loop().create_future()
+
+async def whole():
+    door = Door(app)
+    peer = Peer("127.0.0.1", await door.open("127.0.0.1", 0))
+    for _ in range(2):
+        assert await peer.call(b"/rest", b"x", 5.0) == b"whole"
+        try:
+            await peer.call(b"/silent", b"x", 0.05)  # given up while it waits: the line ends
+            raise SystemExit("an answer out of nothing")
+        except NoAnswer:
+            pass
+
+asyncio.run(whole())
+for name, fine in (("a@b.example", True), ("a b", False)):
+    assert ("x" in Schema.from_dict({"x": fields.Email()})().validate({"x": name})) != fine
+print(*sorted(sys.modules))
+"""
+
+
+def test_a_program_without_what_is_left_out_calls_is_called_and_gives_up() -> None:
+    found = subprocess.run(
+        [sys.executable, "-c", PROGRAM], capture_output=True, text=True, timeout=60, check=False
+    )
+    assert found.returncode == 0, found.stderr
+    loaded = set(found.stdout.split())
+    assert not loaded & {"click", "anyio._core", "anyio._backends._asyncio", "importlib.metadata"}
+    assert {"uvicorn", "httpcore", "marshmallow"} <= loaded
+
+
+def test_whoever_uses_what_is_left_out_is_told() -> None:
+    with pytest.raises(BrokenInvariant):
+        _ = lean.Unused("certifi").where
+    later = lean.Later(r"a+", re.IGNORECASE)
+    assert later.match("AAA") and not later.match("b")
+    compiled = re.compile
+    lean.patterns()
+    assert re.compile is compiled and lean.PATTERNS in sys.modules
