Calls between controllers: each reply names its question and its life

Cause: a late reply on a line, or one of another process at the address, could only be told from the right one by the line's own order. Now Peer.call sends x-question, a door with a life echoes it and x-life on every answer of the app, and a reply that does not name the question costs its line. A cancelled or timed-out call closes its line in Peer as well as in Line. Lines to the process that was at the address before are not kept.

--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -72,7 +72,7 @@
         self.tasks = Tasks()
         self.room = Room(int(boot.mem_mb * 1e6 * BODIES))
         self.door = Door(self.app, most=int(boot.max_fds * CLIENTS))
-        self.polls, self.inner = Door(self.readyz), Door(self.asked)
+        self.polls, self.inner = Door(self.readyz), Door(self.asked, life=self.life)
 
     # -- what is known
 
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -72,7 +72,7 @@
         self.backends = Backends(self.beats, self.news, self.members, boot.tolerate, self.near)
         self.routes = routes(self.backends, Config(self.office))
         self.tasks = Tasks()
-        self.inner_door = Door(self.inner, Limits(65536, 3.0, 30.0))
+        self.inner_door = Door(self.inner, Limits(65536, 3.0, 30.0), life=self.life)
         self.ctl_door = Door(self.ctl, Limits(65536, 3.0, 30.0))
 
     def peer(self, host: str, port: int) -> Peer:
--- a/meadowworks/track/door.py
+++ b/meadowworks/track/door.py
@@ -17,6 +17,7 @@
 from meadowworks.node.crowd import Crowd
 
 Scope = MutableMapping[str, Any]
+QUESTION, LIFE = b"x-question", b"x-life"  # between controllers: which call is answered, and by which process
 AHEAD_MOST = 16  # requests that a client may send ahead of their answers
 GRACE_NS = 1_000_000_000  # that a connection is left alone, so that what it sends has time to arrive
 App = Callable[[Scope, Callable[[], Awaitable[Any]], Callable[[Any], Awaitable[None]]], Awaitable[None]]
@@ -47,11 +48,13 @@
 
 @dataclass(slots=True)
 class State:
-    """`crowd`: connections are bounded, and who is idle gives way when there are too many."""
+    """`crowd`: connections are bounded, and who is idle gives way when there are too many. `life`: each
+    answer names its question and this life."""
 
     limits: Limits = field(default_factory=Limits)
     leaving: bool = False
     crowd: Crowd[Caller] | None = None
+    life: bytes = b""
 
 
 class Caller(HttpToolsProtocol):
@@ -137,6 +140,9 @@
         self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
         self.before = self.cycle
         super().on_headers_complete()
+        if self.state.life:
+            names = [(name, value) for name, value in self.headers if name == QUESTION]
+            self.cycle.default_headers = [*names, (LIFE, self.state.life)]
         if self.state.leaving:
             self.cycle.keep_alive = False
 
@@ -185,9 +191,11 @@
 class Door:
     """An address that is listened at, and its connections."""
 
-    def __init__(self, app: App, limits: Limits | None = None, most: int = 0) -> None:
-        """`most` connections, if it is not 0."""
-        self.state = State(limits or Limits(), crowd=Crowd(most, GRACE_NS) if most else None)
+    def __init__(self, app: App, limits: Limits | None = None, most: int = 0, life: str = "") -> None:
+        """`most` connections, if it is not 0. `life` is the answering process's, for a door that controllers
+        call: each of its answers then names the question."""
+        crowd: Crowd[Caller] | None = Crowd(most, GRACE_NS) if most else None
+        self.state = State(limits or Limits(), crowd=crowd, life=life.encode())
         self.config = Config(
             app=app,
             http="httptools",
--- a/meadowworks/track/peer.py
+++ b/meadowworks/track/peer.py
@@ -1,9 +1,15 @@
-"""Calls to one other controller: lines that are kept between calls."""
+"""Calls to one other controller: lines that are kept between calls, and replies that name their question.
+
+A late reply to an earlier call, one of a process that has taken the address of another, or of one that knows
+no questions, is never taken for the reply to this call.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from secrets import token_hex
 
+from meadowworks.track.door import LIFE, QUESTION
 from meadowworks.track.errors import NoAnswer
 from meadowworks.track.line import Line, connect
 
@@ -13,29 +19,51 @@
 
 
 class Peer:
-    """Raises NoAnswer from `call`."""
+    """Raises NoAnswer from `call`. `life` is that of the process which took the newest line."""
 
     def __init__(self, host: str, port: int) -> None:
         self.host, self.port = host, port
+        self.life: bytes | None = None
         self.idle: list[Line] = []
 
-    async def call(self, path: bytes, body: bytes, wait_s: float) -> bytes:
-        """The body of a 200; anything else is no answer."""
-        line = None
-        while self.idle and line is None:
+    def kept(self) -> Line | None:
+        while self.idle:
             line = self.idle.pop()
-            if not line.usable():
-                line.close()
-                line = None
+            if line.usable():
+                return line
+            line.close()
+        return None
+
+    async def call(self, path: bytes, body: bytes, wait_s: float) -> bytes:
+        """The body of a 200 to this very question; anything else is no answer, and costs its line."""
+        line, question = self.kept(), token_hex(8).encode()
+        fresh = line is None
         try:
             async with asyncio.timeout(wait_s):
                 if line is None:
                     line = await connect(self.host, self.port, CONNECT_S)
-                headers = [(b"host", self.host.encode()), (b"content-length", str(len(body)).encode())]
+                headers = [
+                    (b"host", self.host.encode()),
+                    (QUESTION, question),
+                    (b"content-length", str(len(body)).encode()),
+                ]
                 reply = await line.ask(b"POST", path, headers, body, ANSWER_MOST)
-        except TimeoutError:
-            raise NoAnswer(f"silence from {self.host}:{self.port}", True) from None
-        if line.usable() and len(self.idle) < KEEP:
+        except BaseException as trouble:
+            # Guards against a reply that comes after its caller has gone: the next call would meet it.
+            if line is not None:
+                line.close()
+            if isinstance(trouble, TimeoutError):
+                raise NoAnswer(f"silence from {self.host}:{self.port}", True) from None
+            raise
+        if reply.get(QUESTION) != question:
+            line.close()
+            raise NoAnswer(f"{self.host}:{self.port} answers another question", True)
+        life = reply.get(LIFE)
+        if fresh and life != self.life:
+            # Guards against lines that lead to the process which was there before.
+            self.close()
+            self.life = life
+        if life == self.life and line.usable() and len(self.idle) < KEEP:
             self.idle.append(line)
         else:
             line.close()
--- /dev/null
+++ b/tests/gateway/test_callers.py
@@ -0,0 +1,142 @@
+"""Whose answer is it: one message at a time is changed, between controllers, to backends and clients."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from meadowworks.track.door import Door, answer, whole_body
+from meadowworks.track.errors import NoAnswer
+from meadowworks.track.peer import Peer
+from tests.gateway.helpers import Raw, until
+
+# What a controller that is called says to the first question, piece by piece; None ends the connection.
+REPLY = b"HTTP/1.1 200 OK\r\nx-question: %s\r\nx-life: one\r\ncontent-length: 5\r\n\r\nfirst"
+CHANGED: dict[str, list[bytes | None]] = {
+    "as it should": [REPLY],
+    "to another question": [REPLY.replace(b"%s", b"0123456789abcdef")],
+    "to no question": [REPLY.replace(b"x-question: %s\r\n", b"")],
+    "a refusal to another question": [REPLY.replace(b"200 OK", b"404 No").replace(b"%s", b"0123456789")],
+    "a refusal": [REPLY.replace(b"200 OK", b"503 No")],
+    "silence": [],
+    "a reset before the head": [None],
+    "a reset in the head": [REPLY[:30], None],
+    "a reset at the end of the head": [REPLY[:-5], None],
+    "a reset in the body": [REPLY[:-2], None],
+    "a reset after it": [REPLY, None],
+    "silence in the head": [REPLY[:30]],
+    "silence in the body": [REPLY[:-2]],
+    "twice": [REPLY + REPLY],
+    "an end said, and then more": [REPLY.replace(b"x-life", b"connection: close\r\nx-life") + REPLY],
+}
+TAKEN = ("as it should", "a reset after it", "twice", "an end said, and then more")
+
+
+class Controller:
+    """Answers its first question as told, and all others as it should: which it names in the body. A silent
+    one answers late, if it is asked to and its caller has left the line open."""
+
+    def __init__(self, how: str) -> None:
+        self.pieces = CHANGED[how]
+        self.late: list[tuple[asyncio.StreamWriter, bytes]] = []
+        self.ended = self.asked = self.lines = 0
+        self.server = Raw(self.serve)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.lines += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                question = head.split(b"x-question: ")[1].split(b"\r\n")[0]
+                self.asked += 1
+                if self.asked > 1:
+                    writer.write(REPLY.replace(b"first", b"later") % question)
+                    continue
+                self.late.append((writer, REPLY % question))
+                for piece in self.pieces:
+                    if piece is None:
+                        writer.transport.abort()
+                        return
+                    writer.write(piece.replace(b"%s", question))
+                    await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.ended += 1
+
+
+async def asks(peer: Peer, wait_s: float) -> bytes | str:
+    try:
+        return await peer.call(b"/pull", b"", wait_s)
+    except NoAnswer as trouble:
+        return str(trouble)
+
+
+@pytest.mark.parametrize("how", CHANGED)
+def test_a_controller_takes_the_reply_to_its_own_question_alone(how: str) -> None:
+    async def main() -> None:
+        made = Controller(how)
+        host, port = await made.server.open()
+        peer = Peer(host, port)
+        first = await asks(peer, 0.1 if "silence" in how else 5.0)
+        assert (first == b"first") == (how in TAKEN) and isinstance(first, bytes) == (how in TAKEN)
+        assert len(peer.idle) <= 1
+        if how not in ("as it should", "a refusal", "a reset after it"):
+            assert not peer.idle  # whatever else it was, its line is ended
+            await until(lambda: made.ended + (None in made.pieces) > 0, "the line is ended at both sides")
+            for writer, reply in made.late:
+                writer.write(reply)  # it comes too late for anybody
+        # A kept line may be found to be reset by now; then a call has no answer, and the one after it has.
+        found = [await asks(peer, 5.0) for _ in range(2)]
+        assert found[1] == b"later" and (found[0] == b"later" or how == "a reset after it")
+        peer.close()
+        made.server.close()
+
+    asyncio.run(main())
+
+
+def test_a_cancelled_call_leaves_no_line_behind() -> None:
+    async def main() -> None:
+        made = Controller("silence")
+        peer = Peer(*await made.server.open())
+        call = asyncio.create_task(peer.call(b"/pull", b"", 5.0))
+        await until(lambda: made.asked == 1, "it is asked")
+        call.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await call
+        await until(lambda: made.ended == 1, "the line is ended")
+        assert not peer.idle and await peer.call(b"/pull", b"", 5.0) == b"later"
+        peer.close()
+        made.server.close()
+
+    asyncio.run(main())
+
+
+def test_no_line_to_a_process_that_was_at_the_address_before_is_kept() -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            body = await whole_body(receive, 100)
+            if body == b"held":
+                await gate.wait()
+            await answer(send, 200, body if isinstance(body, bytes) else b"")
+
+        before, after = Door(app, life="before"), Door(app, life="after")
+        port = await before.open("127.0.0.1", 0)
+        peer = Peer("127.0.0.1", port)
+        assert await peer.call(b"/pull", b"x", 5.0) == b"x" and peer.life == b"before"
+        held = asyncio.create_task(peer.call(b"/pull", b"held", 5.0))  # on the line that was kept
+        await until(lambda: before.at_work() == 1, "it is at work")
+        assert before.server is not None
+        before.server.close()
+        await after.open("127.0.0.1", port)
+        assert await peer.call(b"/pull", b"y", 5.0) == b"y" and peer.life == b"after"
+        gate.set()
+        assert await held == b"held"  # it is that call's, whoever says it
+        assert peer.life == b"after" and len(peer.idle) == 1
+        assert await peer.call(b"/pull", b"z", 5.0) == b"z" and peer.life == b"after"
+        peer.close()
+        after.shut()
+
+    asyncio.run(main())
