The junction's picture: counted from when its question left; 404 only while it is fresh

Cause: a junction beside a signalbox that was cut off took its table as in force after 3 s, for ever, and one whose own pulls were lost went on saying 404 by what it had last heard. Now carriage.picture counts from the question that a sure one has answered, on the steady clock; 404 needs a picture under 2.5 s, else 503 with a time to come back. Readiness does not hang on it. After a lost pull the next reply is asked for at once.

--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -16,6 +16,7 @@
 from meadowworks.carriage.budget import Budget
 from meadowworks.carriage.choice import reach
 from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
+from meadowworks.carriage.picture import Picture
 from meadowworks.carriage.room import Room
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt, back_headers, on_headers
@@ -45,7 +46,8 @@
 BODY_S = 30.0  # that a body in parts may take, if its client names no time
 BODIES, CLIENTS = 0.25, 0.6  # parts: of memory that bodies may take, of descriptors that clients may
 SUMMARY_S = 10.0  # between the log's lines of counters
-SETTLE_NS = 3 * SECOND  # that a first list is waited for until every service has a backend
+SETTLE_NS = 3 * SECOND  # that one who is sure is waited for, and then until every service has a backend
+STALE_NS = 300 * MS  # in which one who is sure may be found again
 log = logs.part("junction")
 
 
@@ -65,7 +67,9 @@
         self.budgets: dict[str, Budget] = {}
         self.yard: Yard[Line] = Yard()
         self.sums, self.own = Sums(), Sums()
-        self.sure_ns = 0  # when a signalbox that was sure first answered
+        self.picture = Picture()
+        self.born_ns = now_ns()
+        self.listed_ns = 0  # when the first list was taken as one to serve by
         self.ready = self.leaving = False
         self.random = random.Random()
         self.counts: dict[str, int] = {}
@@ -140,11 +144,16 @@
 
     def is_ready(self) -> bool:
         now = now_ns()
-        if self.leaving or self.table is None or not self.sure_ns:
+        if self.leaving or self.table is None or not self.listed_ns:
             return False
         named = {name for routes in self.table.hosts.values() for r in routes.values() for name, _ in r.split}
         served = all(self.services[name].lines for name in named)
-        return served or now - self.sure_ns > SETTLE_NS
+        return served or now - self.listed_ns > SETTLE_NS
+
+    def settle(self, now: int) -> None:
+        """With nobody sure to be found the list that is there is served by, not spoken from."""
+        if not self.listed_ns and (self.picture.ever or now - self.born_ns > SETTLE_NS):
+            self.listed_ns = now
 
     # -- pulls
 
@@ -152,7 +161,7 @@
         return self.peers.setdefault((host, port), Peer(host, port))
 
     async def pull(self) -> None:
-        turn, born = 0, now_ns()
+        turn, hold_ms = 0, PULL_MS
         while True:
             now = now_ns()
             seeds = self.members.lonely(self.boot.seeds, self.boot.inner)
@@ -167,9 +176,10 @@
                 cards,
                 self.news.vector(),
                 self.table.version if self.table else 0,
-                PULL_MS,
+                hold_ms,
                 sums.pack() if sums else None,
             )
+            asked_ns = now_ns()
             try:
                 news = post.read_news(await self.peer(*at).call(b"/pull", pull.pack(), PULL_S))
                 table = load_table(news.table[1]) if news.table else None
@@ -177,6 +187,7 @@
                 log.info("no news from {}: {}", at[0], trouble)
                 self.sums.add(sums.pack())
                 self.upstream.failed(now_ns(), at[0])
+                hold_ms = 0  # the picture has grown old: the next reply is wanted at once
                 await asyncio.sleep(0.1)
                 continue
             turn, now = turn + 1, now_ns()
@@ -189,9 +200,12 @@
             if not news.sure:
                 # Guards against one that is cut off from the others and goes on telling what is old.
                 self.upstream.failed(now, at[0])
+                hold_ms = 0 if hold_ms else PULL_MS
                 await asyncio.sleep(0.05)
-            if (news.sure or now - born > SETTLE_NS) and not self.sure_ns:
-                self.sure_ns = now
+            else:
+                hold_ms = PULL_MS
+            self.picture.told(asked_ns, news.sure)
+            self.settle(now)
 
     # -- from time to time
 
@@ -202,6 +216,7 @@
         self.news.expire(now)
         self.lives.tick()
         self.relist()
+        self.settle(now)
         own, self.own = self.own, Sums()
         mine = self.boot.zones.index(self.boot.zone)
         if any(service.late(now, mine) for service in self.services.values()):
@@ -246,9 +261,9 @@
             return await answer(send, status, json.dumps({"err": f"the body is {body.value}"}).encode())
         target: bytes = scope["target"]
         route = table.find(host, target.partition(b"?")[0].decode("latin-1"))
-        if route is None and not self.sure_ns:
-            # Guards against a table from one that is cut off, which may lack a route that exists.
-            return await self.refused(send, Refuse(503, 300 * MS))
+        if route is None and not self.picture.fresh(now_ns()):
+            # Guards against a table of before a cut or a freeze, which may lack a route that exists.
+            return await self.refused(send, Refuse(503, STALE_NS))
         if route is None:
             return await answer(send, 404, b'{"err":"there is no such route"}')
         limit_ns = came + int(min(route.deadline_ms, milliseconds(deadline, route.deadline_ms)) * MS)
@@ -389,6 +404,7 @@
         return {
             "node": self.boot.node,
             "ready": self.is_ready(),
+            "fresh": self.picture.fresh(now_ns()),
             "version": f"{self.table.version if self.table else 0:08x}",
             "answers": self.counts,
             "services": {
--- a/tests/gateway/features/fleet.feature
+++ b/tests/gateway/features/fleet.feature
@@ -35,6 +35,8 @@
     When version 1 is sent to the first signalbox
     And a junction starts anew while only one signalbox is there, cut off
     Then it is not ready, and tells nobody that a route is not there
+    And after a while it is ready by what it has, and still tells nobody so
     And a drain that no other disk's controller hears of is not acknowledged
     When the others are back
     Then it is ready, and an older version that comes late changes nothing there
+    And while its picture is old it is ready, and tells nobody that a route is not there
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -9,6 +9,7 @@
 
 from meadowworks.attempts.again import ANSWERED, DROPPED, UNRUN
 from meadowworks.carriage.answers import judge
+from meadowworks.carriage.picture import Picture
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt
 from meadowworks.track.door import Door, answer, whole_body
@@ -257,3 +258,34 @@
     assert judge(b"q", b"me", 503, headers.get, True).state == UNRUN
     assert judge(b"q", b"me", 503, headers.get, False).state == DROPPED
     assert judge(None, b"me", 503, headers.get, True).state == UNRUN
+
+
+# -- what a junction that may be cut off says
+
+MS = SECOND // 1000
+# When questions left and their replies came (None: never), whether those were sure; and at which moments the
+# picture may be spoken from, by the steady clock in milliseconds.
+PICTURES: dict[str, tuple[list[tuple[int, int | None, bool]], dict[int, bool]]] = {
+    "nobody was asked": ([], {0: False, 5000: False}),
+    "pulls that are held back": ([(0, 1000, True), (1000, 2000, True)], {999: False, 1999: True, 3499: True}),
+    "nobody sure, for how long ever": ([(k * 1000, k * 1000 + 1000, False) for k in range(9)], {9000: False}),
+    "one pull lost": ([(0, 1000, True), (1000, None, True), (2400, 2410, True)], {2411: True}),
+    "a reply that is held up": ([(0, 2499, True)], {2499: True, 2500: False}),
+    "a reply that comes after a thaw": ([(0, 60_000, True)], {60_000: False}),
+    "a freeze after a reply": ([(0, 10, True)], {2499: True, 60_000: False}),
+    "replies alone are cut off": ([(0, 10, True), (10, None, True), (1610, None, True)], {2600: False}),
+    "a late reply after a newer one": ([(1000, 1100, True), (0, 1200, True)], {3499: True, 3500: False}),
+    "the sure one lost, another not sure": ([(0, 10, True), (1000, 1010, False)], {2499: True, 2500: False}),
+}
+
+
+@pytest.mark.parametrize("how", PICTURES)
+def test_a_picture_is_as_old_as_the_question_that_was_answered(how: str) -> None:
+    replies, moments = PICTURES[how]
+    for moment, fresh in moments.items():
+        picture = Picture(2500 * MS)
+        for asked, came, sure in replies:
+            if came is not None and came <= moment:
+                picture.told(asked * MS, sure)
+        assert picture.fresh(moment * MS) == fresh, moment
+        assert picture.ever or not fresh
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -15,7 +15,8 @@
 from pytest_bdd import given, scenarios, then, when
 
 from meadowworks import commands
-from meadowworks.junction.program import Junction
+from meadowworks.carriage.picture import FRESH_NS
+from meadowworks.junction.program import SETTLE_NS, Junction
 from meadowworks.local.backend import Backend
 from meadowworks.local.system import Plan, configuration, free_ports
 from meadowworks.signalbox.program import Signalbox
@@ -24,6 +25,7 @@
 from meadowworks.track import boot
 from meadowworks.track.errors import NoAnswer
 from meadowworks.track.line import connect
+from meadowworks.track.program import now_ns
 from tests.gateway.helpers import ask, until
 
 scenarios("features/fleet.feature")
@@ -262,6 +264,34 @@
     assert unknown.status == 503 and float(unknown.get(b"retry-after")) < 1
 
 
+@then("after a while it is ready by what it has, and still tells nobody so")
+def ready_cut_off(fleet: Fleet) -> None:
+    node = fleet.nodes[4]
+    node.born_ns -= SETTLE_NS
+    node.settle(now_ns())
+    node.listed_ns -= SETTLE_NS  # its other services' backends are not waited for longer
+    assert node.is_ready() and not node.picture.ever
+    assert fleet.run(fleet.serve(1, b"GET", b"/read/a")).status == 200
+    unknown = fleet.run(fleet.serve(1, b"GET", b"/new/a"))
+    assert unknown.status == 503 and float(unknown.get(b"retry-after")) < 1
+
+
+@then("while its picture is old it is ready, and tells nobody that a route is not there")
+def picture_old(fleet: Fleet) -> None:
+    async def whole() -> None:
+        node = fleet.nodes[4]
+        work, node.picture.told = node.picture.told, lambda asked, sure: None
+        node.picture.asked_ns -= FRESH_NS
+        assert node.is_ready()
+        status = (await fleet.serve(1, b"GET", b"/new/a")).status
+        node.picture.told = work
+        await until(lambda: node.picture.fresh(now_ns()), "it is told again")
+        assert (await fleet.serve(1, b"GET", b"/new/a")).status == 404
+        assert status == 503
+
+    fleet.run(whole())
+
+
 @then("a drain that no other disk's controller hears of is not acknowledged")
 def not_acknowledged(fleet: Fleet) -> None:
     backend = fleet.backends[1]
@@ -275,7 +305,8 @@
     async def whole() -> None:
         await fleet.start(1)
         await fleet.start(2)
-        await until(lambda: fleet.nodes[4].is_ready(), "it is ready")
+        node = fleet.nodes[4]
+        await until(lambda: node.is_ready() and node.picture.fresh(now_ns()), "it is ready, and knows")
 
     fleet.run(whole())
 
