--- a/meadowworks/depot/disk.py
+++ b/meadowworks/depot/disk.py
@@ -1,21 +1,45 @@
-"""A box on disk. What `save` has returned from is there after a loss of power."""
+"""An acceptor on disk. What `save` has returned from is there after a loss of power."""
 
 from __future__ import annotations
 
 import sqlite3
+from collections.abc import Mapping
+from dataclasses import dataclass
 from pathlib import Path
-from uuid import uuid4
+from typing import Any
 
-from meadowworks.timetable.register import Ballot, Box, Held, Slot
+import msgpack
+
+from meadowworks.timetable.register import Held, Slot, ballot
+from meadowworks.timetable.replica import Rows
 
 SCHEMA = """
-CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value);
-CREATE TABLE IF NOT EXISTS slots (version INTEGER PRIMARY KEY, promised_n INTEGER, promised_by TEXT,
-                                  accepted_n INTEGER, accepted_by TEXT, content BLOB);
+CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value BLOB);
+CREATE TABLE IF NOT EXISTS held (one INTEGER PRIMARY KEY, version INTEGER, content BLOB);
+CREATE TABLE IF NOT EXISTS history (version INTEGER PRIMARY KEY, digest BLOB);
+CREATE TABLE IF NOT EXISTS slots (version INTEGER PRIMARY KEY, promised BLOB, accepted BLOB, content BLOB);
 CREATE TABLE IF NOT EXISTS lives (ident TEXT PRIMARY KEY, value BLOB);
 """
 
 
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """What a disk holds. `meta`: an acceptor's own fields, as `Rows` has them; none if the disk is empty."""
+
+    meta: Mapping[str, Any] | None
+    held: Held
+    history: Mapping[int, bytes]
+    slots: Mapping[int, Slot]
+
+
+def pack(value: Any) -> bytes:
+    return msgpack.packb(value, use_bin_type=True)  # type: ignore[no-any-return]
+
+
+def unpack(value: bytes) -> Any:
+    return msgpack.unpackb(value, raw=False)
+
+
 class Disk:
     """The one user of a file; calls may come from one thread after another. Raises sqlite3.Error."""
 
@@ -30,36 +54,35 @@
         self.db.execute("PRAGMA synchronous=FULL")
         self.db.executescript(SCHEMA)
 
-    def load(self) -> tuple[str, Box | None]:
-        """The disk's name and its box; no box if this disk has never held a sound one."""
-        meta = dict(self.db.execute("SELECT name, value FROM meta").fetchall())
-        if not meta.get("sound"):
-            return str(uuid4()), None
+    def load(self) -> Stored:
+        meta = {name: unpack(value) for name, value in self.db.execute("SELECT name, value FROM meta")}
         slots = {
-            v: Slot(Ballot(pn, pb), Ballot(an, ab), bytes(content))
-            for v, pn, pb, an, ab, content in self.db.execute("SELECT * FROM slots").fetchall()
+            version: Slot(ballot(unpack(promised)), ballot(unpack(accepted)), bytes(content))
+            for version, promised, accepted, content in self.db.execute("SELECT * FROM slots")
         }
-        return meta["disk"], Box(True, meta["era"], Held(meta["version"], bytes(meta["content"])), slots)
+        row = self.db.execute("SELECT version, content FROM held").fetchone()
+        held = Held(row[0], bytes(row[1])) if row else Held()
+        history = {v: bytes(d) for v, d in self.db.execute("SELECT version, digest FROM history")}
+        return Stored(meta or None, held, history, slots)
 
-    def save(self, name: str, box: Box, changed: set[int], dirty: bool) -> None:
+    def save(self, rows: Rows) -> None:
         self.db.execute("BEGIN")
         try:
-            if dirty:
+            if rows.meta is not None:
                 self.db.executemany(
-                    "INSERT OR REPLACE INTO meta VALUES (?, ?)",
-                    [
-                        ("disk", name),
-                        ("sound", int(box.sound)),
-                        ("era", box.era),
-                        ("version", box.held.version),
-                        ("content", box.held.content),
-                    ],
+                    "INSERT OR REPLACE INTO meta VALUES (?, ?)", [(k, pack(v)) for k, v in rows.meta.items()]
+                )
+            if rows.held is not None:
+                self.db.execute(
+                    "INSERT OR REPLACE INTO held VALUES (1, ?, ?)", (rows.held.version, rows.held.content)
                 )
-            for version in changed:
-                if slot := box.slots.get(version):
+                self.db.executemany("INSERT OR REPLACE INTO history VALUES (?, ?)", rows.history.items())
+                self.db.execute("DELETE FROM history WHERE version < ?", (rows.floor,))
+            for version, slot in rows.slots.items():
+                if slot is not None:
                     self.db.execute(
-                        "INSERT OR REPLACE INTO slots VALUES (?, ?, ?, ?, ?, ?)",
-                        (version, *slot.promised, *slot.accepted, slot.content),
+                        "INSERT OR REPLACE INTO slots VALUES (?, ?, ?, ?)",
+                        (version, pack(slot.promised), pack(slot.accepted), slot.content),
                     )
                 else:
                     self.db.execute("DELETE FROM slots WHERE version = ?", (version,))
