A pull is answered at once where the asker has never heard of this life

Cause: a returning or new disk was seen by the others only when a held-back pull ended. Change: a pull whose vector lacks the holder's life is answered at once.

--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -168,7 +168,7 @@
         return (
             self.leaving
             or self.lacks(pull)
-            or not pull.vector
+            or self.life not in pull.vector  # the asker has never heard of this life: it is in touch at once
             or any(key.startswith(BACKENDS) for p in pieces for _, key, _ in p.changes)
         )
 
