--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -19,8 +19,7 @@
 import meadowworks.junction.program, meadowworks.signalbox.program
 from marshmallow import Schema, ValidationError, fields
 from meadowworks.track.door import Door, answer
-from meadowworks.track.errors import NoAnswer
-from meadowworks.track.peer import Peer
+from meadowworks.track.line import connect
 
 async def app(scope, receive, send):
     if scope["path"] == "/rest":
@@ -29,14 +28,17 @@
 
 async def whole():
     door = Door(app)
-    peer = Peer("127.0.0.1", await door.open("127.0.0.1", 0))
+    port = await door.open("127.0.0.1", 0)
     for _ in range(2):
-        assert await peer.call(b"/rest", b"x", 5.0) == b"whole"
-        try:
-            await peer.call(b"/silent", b"x", 0.05)  # given up while it waits: the line ends
-            raise SystemExit("an answer out of nothing")
-        except NoAnswer:
-            pass
+        line = await connect("127.0.0.1", port, 5.0)
+        for _ in range(2):
+            assert (await line.ask(b"GET", b"/rest", [(b"host", b"h")], b"", 99)).body == b"whole"
+        assert line.usable()
+        asked = asyncio.ensure_future(line.ask(b"GET", b"/silent", [(b"host", b"h")], b"", 99))
+        await asyncio.sleep(0)
+        asked.cancel()  # given up while it waits: the line ends
+        await asyncio.wait([asked])
+        assert asked.cancelled() and not line.usable()
 
 asyncio.run(whole())
 for name, fine in (("a@b.example", True), ("a b", False)):
@@ -45,7 +47,7 @@
 """
 
 
-def test_a_program_without_what_is_left_out_calls_is_called_and_gives_up() -> None:
+def test_a_program_without_what_is_left_out_calls_and_gives_up() -> None:
     found = subprocess.run(
         [sys.executable, "-c", PROGRAM], capture_output=True, text=True, timeout=60, check=False
     )
