Planned ends and clients that go: nothing read is cut, nothing more is sent, one bound on answers

Change: door (Outlet lingers, the last read request is the last answered, at_work counts unsent bytes, large answers go in parts), journey.left, Share of one room for bodies and answers, Tasks.bound, prices by route in status.

--- a/meadowworks/carriage/journey.py
+++ b/meadowworks/carriage/journey.py
@@ -33,6 +33,7 @@
 PACE_NS = 60 * MS  # in which room may be found again: what a time to come back is reckoned with
 LEAST_NS = 20 * MS  # with less time left no further try begins
 SPENT = Stop("no further try is within the service's budget")
+GONE = Stop("its client has gone")
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,7 @@
     failed: dict[int, int] = field(default_factory=dict)  # tries whose answer is a backend's own failure
     over: bool = False
     usual_ns: int = 0  # until when the newest try is waited for where no slot is free
+    gone: bool = False  # its client has
 
     def start(self, now: int, lines: Mapping[int, float], delays: Mapping[int, float], chance: float) -> Step:
         if self.limit_ns - now < LEAST_NS:
@@ -144,6 +146,12 @@
                     return self.send(now, found.backend, lines)
         return self.wait(now)
 
+    def left(self) -> bool:
+        """Its client has gone: nothing is sent any more. Whether what is under way may be ended: an unsafe
+        request that may have run goes on, as its client has wanted it."""
+        self.gone = True
+        return self.way.repeatable
+
     def wait(self, now: int) -> Wait:
         due = [one.due_ns for one in self.tries.values() if one.state == SENT and one.due_ns > now]
         return Wait(min([*due, self.limit_ns]))
@@ -156,6 +164,8 @@
         chance: float,
         budget: Callable[[], bool],
     ) -> Again | Stop:
+        if self.gone:
+            return GONE
         tries = [*self.tries.values()]
         found = again(self.way, self.policy, tries, lines, self.limit_ns - now, chance, delays)
         return found if isinstance(found, Stop) or budget() else SPENT
--- a/meadowworks/junction/forward.py
+++ b/meadowworks/junction/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from meadowworks.attempts.again import DROPPED, UNRUN
@@ -84,8 +85,14 @@
     return None
 
 
-async def attempt(yard: Yard[Line], backend: Backend, request: Request, limit_ns: int) -> Tried:
-    """Never raises but for a cancel; the line is kept or ended."""
+async def attempt(
+    yard: Yard[Line],
+    backend: Backend,
+    request: Request,
+    limit_ns: int,
+    take: Callable[[int], bool] | None = None,
+) -> Tried:
+    """Never raises but for a cancel; the line is kept or ended. `take` finds room for its answer."""
     start = now_ns()
     yard.begin(backend.ident)
     line: Line | None = None
@@ -104,7 +111,7 @@
         ]
         if request.body or request.method in BODIED:
             headers.append((b"content-length", str(len(request.body)).encode()))
-        reply = await line.ask(request.method, request.target, headers, request.body, ANSWER_MOST)
+        reply = await line.ask(request.method, request.target, headers, request.body, ANSWER_MOST, take)
         now = now_ns()
         load = load_of(reply)
         if load is not None:
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -12,12 +12,12 @@
 
 import xxhash
 
-from meadowworks.attempts.again import ANSWERED, come_back_ns
+from meadowworks.attempts.again import ANSWERED, CANCELLED, UNRUN, come_back_ns
 from meadowworks.carriage.budget import Budget
 from meadowworks.carriage.choice import reach
 from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
 from meadowworks.carriage.picture import Picture
-from meadowworks.carriage.room import Room
+from meadowworks.carriage.room import Room, Share
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt, back_headers, on_headers
 from meadowworks.junction.upstream import Upstream
@@ -44,9 +44,10 @@
 POLLS_S = 2.3  # that connections may still come for after readyz says no: two polls a second apart
 TICK_S = 0.25  # the controllers' own turns come every half second
 BODY_S = 30.0  # that a body in parts may take, if its client names no time
-BODIES, CLIENTS = 0.25, 0.6  # parts: of memory that bodies may take, of descriptors that clients may
+BODIES, CLIENTS = 0.4, 0.6  # parts: of memory that bodies and answers may take, of descriptors for clients
 SUMMARY_S = 10.0  # between the log's lines of counters
 SETTLE_NS = 3 * SECOND  # that one who is sure is waited for, and then until every service has a backend
+HELD = 0.25  # part of a route's target that a request may be held without an offer to a backend
 STALE_NS = 300 * MS  # in which one who is sure may be found again
 log = logs.part("junction")
 
@@ -73,6 +74,7 @@
         self.ready = self.leaving = False
         self.random = random.Random()
         self.counts: dict[str, int] = {}
+        self.prices: dict[str, dict[str, int]] = {}  # by route: what its operator pays for
         self.tasks = Tasks()
         self.room = Room(int(boot.mem_mb * 1e6 * BODIES))
         self.door = Door(self.app, most=int(boot.max_fds * CLIENTS))
@@ -269,14 +271,32 @@
         limit_ns = came + int(min(route.deadline_ms, milliseconds(deadline, route.deadline_ms)) * MS)
         request = Request(scope["method"].encode(), target, on_headers(scope["headers"]), body, ident)
         chance = xxhash.xxh32_intdigest(ident) / 2**32 if ident else self.random.random()
-        found = await self.travel(route, route.service(chance), request, limit_ns)
-        if isinstance(found, Refuse):
-            return await self.refused(send, found)
-        self.count(str(found.status))
-        await answer(send, found.status, found.body, back_headers(found))
-
-    async def travel(self, route: Route, name: str, request: Request, limit_ns: int) -> Reply | Refuse:
-        """The final answer of a request."""
+        caller = scope.get("caller")
+        if caller is not None and caller.lost:
+            return self.count("clients gone")
+        share = Share(self.room)
+        try:
+            if not share.take(len(body)):
+                return await self.refused(send, Refuse(503, SECOND))
+            found = await self.travel(route, route.service(chance), request, limit_ns, share, caller)
+            if caller is not None and caller.lost:
+                return self.count("clients gone")
+            if isinstance(found, Refuse):
+                return await self.refused(send, found)
+            self.count(str(found.status))
+            await answer(send, found.status, found.body, back_headers(found), table.idle_ms / 1000)
+        except TimeoutError:  # guards against one that takes nothing of its answer, which is held for it
+            self.price(route, "broken off midway")
+            if caller is not None:
+                caller.transport.abort()
+        finally:
+            share.give()
+
+    async def travel(
+        self, route: Route, name: str, request: Request, limit_ns: int, share: Share, caller: Any = None
+    ) -> Reply | Refuse:
+        """The final answer of a request, whose bytes are taken out of the share. `caller` is the connection
+        that it came on."""
         now = now_ns()
         service = self.services[name]
         budget = self.budgets.get(name)
@@ -294,47 +314,67 @@
             way(route.safe, limit_ns - now, int(target_ns)), policy(route.safe, route.tries, jammed), limit_ns
         )
         again = lambda: budget.take(now_ns())  # noqa: E731
+        offered = False  # to a backend, over a connection that was up
         tasks: dict[asyncio.Task[Tried], int] = {}
         replies: dict[int, Reply | None] = {}
+
+        def left() -> None:
+            if journey.left():
+                for task in tasks:
+                    task.cancel()
+                    self.price(route, "ended, its client gone")
+
         step: Step = journey.start(now, *self.seen(service, target_ns, now)[:2], self.random.random())
         try:
+            if caller is not None:
+                caller.at_loss = left
             while True:
                 if isinstance(step, Forward):
                     reply = replies[step.number]
                     assert reply is not None
                     return reply
                 if isinstance(step, Refuse):
+                    if tasks and not journey.gone:
+                        self.price(route, "broken off")
+                    elif not offered and now_ns() - now > target_ns * HELD:
+                        self.price(route, "held without an offer")
+                    if step.status != 503 and not offered and not tasks:
+                        self.price(route, f"{step.status} without an offer")
                     return step
                 if isinstance(step, Send):
                     backend = self.lives.known[service.places.names[step.place]]
-                    tasks[self.tasks.start(self.attempt(backend, request, limit_ns))] = step.number
+                    tasks[self.tasks.start(self.attempt(backend, request, limit_ns, share))] = step.number
                 until = journey.wait(now_ns()).until_ns
                 done, _ = await asyncio.wait(
                     tasks, timeout=max(0.0, (until - now_ns()) / 1e9), return_when=asyncio.FIRST_COMPLETED
                 )
-                now = now_ns()
-                lines, waits, free = self.seen(service, target_ns, now)
+                later = now_ns()
+                lines, waits, free = self.seen(service, target_ns, later)
                 if not done:
-                    step = journey.due(now, lines, waits, self.random.random(), again, free)
+                    step = journey.due(later, lines, waits, self.random.random(), again, free)
                     continue
                 for task in done:
-                    number, tried = tasks.pop(task), task.result()
+                    number = tasks.pop(task)
+                    tried = Tried(CANCELLED, None, 0) if task.cancelled() else task.result()
                     replies[number] = tried.reply
+                    offered = offered or tried.state != UNRUN or tried.reply is not None
                     step = journey.ended(
-                        now, number, tried.state, tried.status, lines, waits, self.random.random(), again
+                        later, number, tried.state, tried.status, lines, waits, self.random.random(), again
                     )
                     if isinstance(step, Forward):
                         break
         finally:
-            if now_ns() >= limit_ns:
-                for task in tasks:
-                    task.cancel()
+            if caller is not None:
+                caller.at_loss = None
+            # Guards against tries that nobody waits for, at backends that never answer.
+            for task in tasks:
+                self.tasks.bound(task, (limit_ns - now_ns()) / 1e9, share.give)
 
-    async def attempt(self, backend: Backend, request: Request, limit_ns: int) -> Tried:
+    async def attempt(self, backend: Backend, request: Request, limit_ns: int, share: Share) -> Tried:
         busy = self.yard.busy(now_ns(), backend.ident, backend.zone == self.boot.zone)
         if backend.zone != self.boot.zone:
             self.count("tries abroad")
-        tried = await attempt(self.yard, backend, request, limit_ns)
+        tried = await attempt(self.yard, backend, request, limit_ns, share.take)
         good = tried.state == ANSWERED
         for sums in (self.sums, self.own):
             sums.tried(backend.ident, good, tried.spent_ns / MS)
@@ -379,6 +419,10 @@
         lines, waits, free = reach(own, abroad, busy, needs, target_ns, service.size)
         return (lines, waits, free) if lines else (kept, {}, False)
 
+    def price(self, route: Route, what: str) -> None:
+        prices = self.prices.setdefault(route.name, {})
+        prices[what] = prices.get(what, 0) + 1
+
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
@@ -407,6 +451,7 @@
             "fresh": self.picture.fresh(now_ns()),
             "version": f"{self.table.version if self.table else 0:08x}",
             "answers": self.counts,
+            "prices": self.prices,
             "services": {
                 name: {
                     **s.why(now_ns()),
@@ -451,6 +496,7 @@
         self.door.shut()
         while self.door.at_work() and loop.time() - start < self.boot.bounds.grace_s - 0.3:
             await asyncio.sleep(0.02)
+        self.door.end()
         await asyncio.sleep(0.02)
 
 
--- a/meadowworks/track/door.py
+++ b/meadowworks/track/door.py
@@ -18,7 +18,9 @@
 
 Scope = MutableMapping[str, Any]
 QUESTION, LIFE = b"x-question", b"x-life"  # between controllers: which call is answered, and by which process
+PART = 128 << 10  # bytes of an answer that wait at a time for a client which reads slowly
 AHEAD_MOST = 16  # requests that a client may send ahead of their answers
+LINGER_S = 1.0  # that a client which had sent more has to read its answers, once the last is written
 GRACE_NS = 1_000_000_000  # that a connection is left alone, so that what it sends has time to arrive
 App = Callable[[Scope, Callable[[], Awaitable[Any]], Callable[[Any], Awaitable[None]]], Awaitable[None]]
 
@@ -57,6 +59,29 @@
     life: bytes = b""
 
 
+class Outlet:
+    """A connection's transport, which does not drop what it has been given: the end of a connection on which
+    bytes lie unread is a reset, and takes answers with it that their client has not read yet."""
+
+    def __init__(self, transport: asyncio.Transport, caller: Caller) -> None:
+        self.transport, self.caller, self.closing = transport, caller, False
+        self.write, self.abort = transport.write, transport.abort
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.transport, name)
+
+    def is_closing(self) -> bool:
+        return self.closing or self.transport.is_closing()
+
+    def close(self) -> None:
+        if self.closing or not self.caller.ahead or self.transport.is_closing():
+            return self.transport.close()
+        self.closing = self.caller.broken = True  # what comes now is read and dropped
+        self.transport.write_eof()
+        self.caller.flow.resume_reading()
+        self.caller.loop.call_later(LINGER_S, self.transport.close)
+
+
 class Caller(HttpToolsProtocol):
     """One connection. Guards against headers that never end, that are too large, and two hosts in one."""
 
@@ -69,9 +94,12 @@
         self.taking = False  # whether its body is
         self.broken = False  # what comes now is read no more
         self.before: Any = None  # the request before the newest
+        self.ahead = False  # requests have come ahead of answers: more may lie unread
+        self.lost = False  # its client has gone
+        self.at_loss: Callable[[], None] | None = None  # told so once, by the request that is at work
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        super().connection_made(transport)
+        super().connection_made(Outlet(transport, self))  # type: ignore[arg-type]
         self.timeout_keep_alive = self.state.limits.idle_s  # type: ignore[assignment]
         self.slow = self.loop.call_later(self.state.limits.idle_s, self.too_slow)
         if crowd := self.state.crowd:
@@ -85,11 +113,17 @@
         if self.state.crowd:
             self.state.crowd.gone(self)
         super().connection_lost(exc)
+        self.lost = True
+        if self.scope is not None:
+            self.scope.pop("caller", None)  # type: ignore[typeddict-item]  # a circle less for the collector
+        if self.at_loss is not None:
+            self.at_loss()
 
     def now(self) -> int:
         return int(self.loop.time() * 1e9)
 
     def on_response_complete(self) -> None:
+        self.timeout_keep_alive = self.state.limits.idle_s  # type: ignore[assignment]  # it may have changed
         super().on_response_complete()
         if self.state.crowd and not self.transport.is_closing() and self.cycle.response_complete:
             self.state.crowd.idle(self.now(), self)
@@ -138,7 +172,14 @@
         if not self.url.startswith(b"/"):
             return self.turn_away(400, "the target is no path")
         self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
+        self.scope["caller"] = self  # type: ignore[typeddict-unknown-key]
         self.before = self.cycle
+        if (last := self.before) is not None and not last.response_complete and not last.keep_alive:
+            if last.response_started:  # its client has been told that nothing more is answered here
+                self.broken = True
+                return
+            last.keep_alive = True  # this one is the last now: it has been read, and is owed an answer
+        self.ahead = self.ahead or last is not None and not last.response_complete
         super().on_headers_complete()
         if self.state.life:
             names = [(name, value) for name, value in self.headers if name == QUESTION]
@@ -231,8 +272,9 @@
         return Caller(self.state, config=self.config, server_state=self.server_state, app_state={})
 
     def at_work(self) -> int:
-        """Requests that are not answered yet."""
-        return len(self.server_state.tasks)
+        """Requests that are not answered yet, and answers that have not left whole."""
+        open_to = [caller.transport for caller in self.server_state.connections]
+        return len(self.server_state.tasks) + sum(bool(t.get_write_buffer_size()) for t in open_to)
 
     def leave(self) -> None:
         """From now on each answer is the last of its connection; connections are still taken."""
@@ -249,6 +291,11 @@
             if not getattr(caller, "reading", False):
                 caller.shutdown()
 
+    def end(self) -> None:
+        """Nothing more is read."""
+        for caller in list(self.server_state.connections):
+            caller.transport.close()
+
 
 async def whole_body(
     receive: Callable[[], Awaitable[Any]], most: int, room: Room | None = None, within_s: float = 30.0
@@ -288,9 +335,16 @@
     status: int,
     body: bytes = b"",
     headers: list[tuple[bytes, bytes]] | None = None,
+    pace_s: float | None = None,
 ) -> None:
-    """A whole answer, of JSON unless a header says otherwise."""
+    """A whole answer, of JSON unless a header says otherwise. With a pace a large one goes in parts, each of
+    which waits for so long at most until the parts before it have gone. Raises TimeoutError."""
     said = headers if headers is not None else [(b"content-type", b"application/json")]
     said = [*said, (b"content-length", str(len(body)).encode())]
     await send({"type": "http.response.start", "status": status, "headers": said})
-    await send({"type": "http.response.body", "body": body})
+    if pace_s is None or len(body) <= PART:
+        return await send({"type": "http.response.body", "body": body})
+    for start in range(0, len(body), PART):
+        async with asyncio.timeout(pace_s):
+            part, more = body[start : start + PART], start + PART < len(body)
+            await send({"type": "http.response.body", "body": part, "more_body": more})
--- a/meadowworks/track/line.py
+++ b/meadowworks/track/line.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -130,10 +130,16 @@
         self.stream.close()
 
     async def ask(
-        self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes, most: int
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        most: int,
+        take: Callable[[int], bool] | None = None,
     ) -> Reply:
-        """One request and its whole answer of `most` bytes at most. An answer that has neither length nor
-        chunks is none: its end can't be told from a break."""
+        """One request and its whole answer of `most` bytes at most, for which `take` must find room. An
+        answer that has neither length nor chunks is none: its end can't be told from a break."""
         url = httpcore.URL(scheme=b"http", host=self.origin.host, port=self.origin.port, target=target)
         request = Request(method, url, headers=list(headers), content=body)
         try:
@@ -141,7 +147,7 @@
             chunks, size = [], 0
             async for chunk in response.aiter_stream():
                 size += len(chunk)
-                if size > most:
+                if size > most or take is not None and not take(len(chunk)):
                     raise NoAnswer("an answer too large", True)
                 chunks.append(chunk)
             whole = self.connection.whole()
--- a/meadowworks/track/program.py
+++ b/meadowworks/track/program.py
@@ -35,6 +35,16 @@
         task.add_done_callback(self.ended)
         return task
 
+    def bound(self, task: asyncio.Task[Any], within_s: float, then: Callable[[], None]) -> None:
+        """Ends a task that nobody waits for, within so many seconds; calls `then` when it is over."""
+        end = asyncio.get_running_loop().call_later(max(0.0, within_s), task.cancel)
+
+        def over(_: asyncio.Task[Any]) -> None:
+            end.cancel()
+            then()
+
+        task.add_done_callback(over)
+
     def ended(self, task: asyncio.Task[Any]) -> None:
         self.running.discard(task)
         if task.cancelled() or (trouble := task.exception()) is None:
--- /dev/null
+++ b/tests/gateway/test_ends.py
@@ -0,0 +1,291 @@
+"""Planned ends, clients that rest or go away, and answers that nobody takes: nothing that was read is cut."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from meadowworks.attempts.again import CANCELLED, DROPPED
+from meadowworks.carriage.journey import Journey, Refuse, Send, Wait, policy, way
+from meadowworks.carriage.room import Room, Share
+from meadowworks.carriage.yard import Yard
+from meadowworks.junction.forward import Request, attempt
+from meadowworks.local.system import Plan, free_ports
+from meadowworks.track import boot
+from meadowworks.track.door import Caller, Door, Limits, answer
+from meadowworks.track.line import Line, connect
+from meadowworks.track.program import Tasks, now_ns
+from tests.gateway.helpers import SECOND, Raw, ask, backend, until
+from tests.gateway.test_fleet import ROUTES, Fleet, fleet  # noqa: F401  # the fixture
+
+ASK = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def stop(writer: asyncio.StreamWriter, paused: bool = True) -> None:
+    """Reads nothing any more, or again."""
+    transport = writer.transport
+    assert isinstance(transport, asyncio.Transport)
+    transport.pause_reading() if paused else transport.resume_reading()
+
+
+class Gated:
+    """A door whose answers wait for a gate."""
+
+    def __init__(self, body: bytes = b"x", pace_s: float | None = None) -> None:
+        self.gate, self.began, self.slow = asyncio.Event(), 0, 0
+        self.body, self.pace_s = body, pace_s
+        self.door = Door(self.app, Limits(4000, 5, 10))
+
+    async def app(self, scope: Any, receive: Any, send: Any) -> None:
+        self.began += 1
+        caller = scope["caller"]
+        await self.gate.wait()
+        try:
+            await answer(send, 200, self.body, None, self.pace_s)
+        except TimeoutError:
+            self.slow += 1
+            caller.transport.abort()
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        self.port = await self.door.open("127.0.0.1", 0)
+        return await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 24)
+
+    def caller(self) -> Caller:
+        (found,) = self.door.server_state.connections
+        assert isinstance(found, Caller)
+        return found
+
+
+@pytest.mark.parametrize("before, after", [(1, 0), (1, 1), (2, 3)])
+def test_requests_behind_one_another_are_all_answered_when_told_to_end(before: int, after: int) -> None:
+    async def main() -> None:
+        made = Gated()
+        reader, writer = await made.open()
+        writer.write(b"".join(ASK % k for k in range(before)))
+        await until(lambda: made.began == 1 and len(made.caller().pipeline) == before - 1, "they are read")
+        made.door.leave()
+        for k in range(after):
+            writer.write(ASK % k)
+        await until(lambda: made.door.at_work() == 1, "at work")
+        read = before + after - 1
+        if before == 1:  # one that waits behind another stops the reading, so that no more are taken in
+            await until(lambda: len(made.caller().pipeline) == min(read, 1), "the next is read")
+        made.gate.set()
+        async with asyncio.timeout(5):
+            said = await reader.read(-1)
+        assert said.count(b"HTTP/1.1 200") == made.began >= before + (before == 1) * after
+        heads = said.split(b"HTTP/1.1 ")[1:]
+        assert [b"connection: close" in head for head in heads] == [False] * (len(heads) - 1) + [True]
+        made.door.shut()
+        writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_client_may_rest_for_as_long_as_the_limits_in_force_allow() -> None:
+    async def main() -> None:
+        made = Gated()
+        made.gate.set()
+        reader, writer = await made.open()
+        for idle_s in (10.0, 30.0, 20.0):
+            made.door.state.limits.idle_s = idle_s
+            writer.write(ASK % 1)
+            await reader.readuntil(b"\r\n\r\nx")
+            end = made.caller().timeout_keep_alive_task
+            assert end is not None and end.when() - asyncio.get_running_loop().time() > 0.8 * idle_s
+        made.door.shut()
+        writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_door_is_at_work_until_its_answers_have_left() -> None:
+    async def main() -> None:
+        made = Gated(b"z" * (8 << 20))
+        made.gate.set()
+        reader, writer = await made.open()
+        writer.write(ASK % 1)
+        await until(lambda: made.began == 1 and not made.door.server_state.tasks, "it is written")
+        stop(writer)
+        assert made.door.at_work() == 1
+        made.door.leave()
+        made.door.shut()
+        stop(writer, False)
+        async with asyncio.timeout(5):
+            said = await reader.read(-1)
+        assert said.endswith(made.body) and said.count(b"z") == len(made.body) and not made.door.at_work()
+        writer.close()
+
+    asyncio.run(main())
+
+
+def test_an_answer_that_nobody_takes_is_ended_and_one_that_is_taken_is_whole() -> None:
+    async def main() -> None:
+        made = Gated(bytes(range(256)) * (32 << 10), 0.2)
+        made.gate.set()
+        reader, writer = await made.open()
+        writer.write(ASK % 1)
+        async with asyncio.timeout(5):
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            assert await reader.readexactly(len(made.body)) == made.body
+            stop(writer)
+            writer.write(ASK % 2)
+            await until(lambda: made.slow == 1, "it is given up")
+        made.door.shut()
+        writer.close()
+
+    asyncio.run(main())
+
+
+def test_answers_of_all_requests_share_one_bound_and_give_it_back() -> None:
+    body = b"y" * 1000
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                names = b"X-Request-Id: q\r\nX-Backend-Seal: s\r\nContent-Length: 1000\r\n\r\n"
+                writer.write(b"HTTP/1.1 200 OK\r\n" + names + body)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+
+    async def main() -> None:
+        server, yard, room = Raw(serve), Yard[Line](), Room(1500)
+        there = backend("me", await server.open())
+        asked = Request(b"GET", b"/", [(b"host", b"h"), (b"x-request-id", b"q")], b"", b"q")
+        one, two = Share(room), Share(room)
+        first = await attempt(yard, there, asked, now_ns() + SECOND, one.take)
+        assert first.reply is not None and room.held == 1000
+        second = await attempt(yard, there, asked, now_ns() + SECOND, two.take)
+        assert second.state == DROPPED and second.reply is None and room.held == 1000
+        one.give()
+        again = await attempt(yard, there, asked, now_ns() + SECOND, two.take)
+        assert again.reply is not None
+        two.give()
+        two.give()
+        assert room.held == 0
+        yard.sweep(now_ns(), set())
+        server.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("safe", [True, False])
+def test_for_a_client_that_has_gone_nothing_more_is_sent(safe: bool) -> None:
+    journey = Journey(way(safe, 2 * SECOND, SECOND // 2), policy(safe, 3, False), 2 * SECOND)
+    lines = {1: 1.0, 2: 1.0, 3: 1.0}
+    first = journey.start(0, lines, {}, 0.1)
+    assert isinstance(first, Send) and journey.left() == safe
+    assert isinstance(journey.due(SECOND, lines, {}, 0.1, lambda: True), Wait)
+    step = journey.ended(SECOND, 1, CANCELLED if safe else DROPPED, 0, lines, {}, 0.1, lambda: True)
+    assert isinstance(step, Refuse) and step.status == 502 and len(journey.tries) == 1
+
+
+async def plan(fleet: Fleet) -> Any:  # noqa: F811
+    """A gateway with version 1 in force, whose backends wait for a gate; the first junction."""
+    await fleet.begin()
+    assert await fleet.replace(0, 1, ROUTES) == 200
+    await fleet.ready()
+    return fleet.nodes[3]
+
+
+@pytest.mark.parametrize("method, target", [(b"GET", b"/read/a"), (b"POST", b"/order/a")])
+def test_a_client_goes_away_while_a_backend_is_at_work(fleet: Fleet, method: bytes, target: bytes) -> None:  # noqa: F811
+    async def whole() -> None:
+        node, gate = await plan(fleet), asyncio.Event()
+        for made in fleet.backends:
+            made.work = gate.wait  # type: ignore[assignment]
+        line = await connect(*fleet.plan.https()[0], 2.0)
+        call = asyncio.create_task(ask(fleet.plan.https()[0], method, target, "gone", b"", line))
+        await until(lambda: any(made.ran for made in fleet.backends), "it is at work")
+        line.close()
+        assert isinstance((await asyncio.gather(call, return_exceptions=True))[0], Exception)
+        if method == b"GET":
+            await until(lambda: not node.door.at_work(), "it is over long before its deadline", 1.0)
+            assert not any(stall.under_way or stall.idle for stall in node.yard.stalls.values())
+        else:
+            await until(lambda: not node.door.server_state.connections, "the connection is gone")
+            assert node.door.at_work() == 1  # it has been wanted, and may have run: it goes on
+            gate.set()
+            await until(lambda: not node.door.at_work(), "it is over")
+            assert any(stall.idle for stall in node.yard.stalls.values())
+        gate.set()
+        assert [ident for made in fleet.backends for ident in made.ran] == ["gone"]
+        assert node.counts == {"clients gone": 1} and not node.room.held
+
+    fleet.run(whole())
+
+
+def test_a_try_that_nobody_waits_for_ends_at_its_limit_and_gives_its_room_back() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf of it")
+        await reader.read(-1)
+
+    async def main() -> None:
+        server, yard, room, tasks = Raw(serve), Yard[Line](), Room(1500), Tasks()
+        there, share = backend("me", await server.open()), Share(room)
+        asked = Request(b"GET", b"/", [(b"host", b"h"), (b"x-request-id", b"q")], b"", b"q")
+        task = tasks.start(attempt(yard, there, asked, now_ns() + 9 * SECOND, share.take))
+        await until(lambda: room.held == 10, "half of it has come")
+        tasks.bound(task, 0.01, share.give)
+        await until(task.done, "it is ended", 2.0)
+        await until(lambda: not tasks.running, "it is told")
+        assert task.cancelled() and not room.held and not yard.stalls["me"].under_way
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_what_is_at_work_outlasts_a_new_plan_and_new_settings(
+    fleet: Fleet,  # noqa: F811
+    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+) -> None:
+    async def whole() -> None:
+        node, gate = await plan(fleet), asyncio.Event()
+        for made in fleet.backends:
+            made.work = gate.wait  # type: ignore[assignment]
+        at = fleet.plan.https()[0]
+        kept = [await connect(*at, 2.0) for _ in range(3)]
+        calls = [
+            asyncio.create_task(ask(at, method, target, f"w{k}", b"", kept[k]))
+            for k, (method, target) in enumerate([(b"POST", b"/order/a"), (b"GET", b"/read/a")])
+        ]
+        await until(lambda: sum(len(made.ran) for made in fleet.backends) == 2, "they are at work")
+        assert await fleet.replace(1, 2, {"/new/": ("safe", "lookup")}) == 200
+        await until(lambda: node.table.version == 2, "the next version is in force")
+        settings = fleet.plan.settings(3, tmp_path / "disk-3", True)
+        settings["network"]["seeds"] = settings["network"]["seeds"][:1]
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(settings))
+        monkeypatch.setenv(boot.VARIABLE, str(path))
+        node.again()
+        assert len(node.boot.seeds) == 1
+        gate.set()
+        assert [reply.status for reply in await asyncio.gather(*calls)] == [200, 200]
+        for line in kept:  # rested lines and used ones: none was ended
+            assert (await ask(at, b"GET", b"/new/a", "n", b"", line)).status == 200
+            line.close()
+
+    fleet.run(whole())
+
+
+TERMS: dict[str, Any] = {
+    "unknown contracts": {"contracts": ["base", "no such part"]},
+    "unknown bounds": {"bounds": {"nobodyKnowsMs": True, "part": 0.5, "whole": 7, "no": False}},
+    "known bounds as fractions": {"bounds": {"graceS": 2.5, "retryRatio": 1, "contactMs": 2500.5}},
+    "zones": {"tolerate": {"zones": 1}},
+    "regions": {"tolerate": {"nodes": 0, "regions": 1}},
+    "what nobody knows": {"tolerate": {"nodes": 1, "continents": 1}, "more": [1]},
+}
+
+
+@pytest.mark.parametrize("how", TERMS)
+def test_terms_that_are_not_known_pass(how: str, tmp_path: Path) -> None:
+    settings = Plan(90, free_ports()).settings(3, tmp_path, True)
+    settings["terms"] = {**settings.get("terms", {}), **TERMS[how]}
+    found = boot.read(json.dumps(settings))
+    assert found.tolerate == TERMS[how].get("tolerate", settings["terms"].get("tolerate", {})).get("nodes", 0)
