A fault in one pull of news does not end all pulls of a junction

Cause, found by reading: the pull's loop was one task, whose end by an exception was logged and no more; the junction went on serving by what it had, ready, for ever. Now each pull is a turn of its own. Measured: pytest tests/gateway, all pass; the new test fails on the loop as it was.

--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -34,7 +34,7 @@
 from meadowworks.track import logs
 from meadowworks.track.boot import Boot, load
 from meadowworks.track.door import Cut, Door, answer, whole_body
-from meadowworks.track.errors import BadSettings, NoAnswer
+from meadowworks.track.errors import BadSettings, BrokenInvariant, NoAnswer
 from meadowworks.track.line import Line, Reply
 from meadowworks.track.peer import Peer
 from meadowworks.track.program import Tasks, now_ns, run
@@ -71,6 +71,7 @@
         self.picture = Picture()
         self.born_ns = now_ns()
         self.listed_ns = 0  # when the first list was taken as one to serve by
+        self.turn, self.hold_ms = 0, PULL_MS
         self.ready = self.leaving = False
         self.random = random.Random()
         self.counts: dict[str, int] = {}
@@ -162,52 +163,64 @@
     def peer(self, host: str, port: int) -> Peer:
         return self.peers.setdefault((host, port), Peer(host, port))
 
-    async def pull(self) -> None:
-        turn, hold_ms = 0, PULL_MS
+    async def pulls(self) -> None:
+        """Pulls for ever. A fault in one pull does not end the next: a junction that hears nothing any more
+        would go on serving by what it has."""
         while True:
-            now = now_ns()
-            seeds = self.members.lonely(self.boot.seeds, self.boot.inner)
-            at = self.upstream.choose(now, self.members.voters(), seeds)
-            if at is None:
-                await asyncio.sleep(0.2)
-                continue
-            cards = (self.members.me,) if turn % 5 == 0 else ()
-            sums, self.sums = self.sums, Sums()
-            pull = post.Pull(
-                self.members.me,
-                cards,
-                self.news.vector(),
-                self.table.version if self.table else 0,
-                hold_ms,
-                sums.pack() if sums else None,
-            )
-            asked_ns = now_ns()
             try:
-                news = post.read_news(await self.peer(*at).call(b"/pull", pull.pack(), PULL_S))
-                table = load_table(news.table[1]) if news.table else None
-            except (NoAnswer, *post.SHAPE) as trouble:
-                log.info("no news from {}: {}", at[0], trouble)
-                self.sums.add(sums.pack())
-                self.upstream.failed(now_ns(), at[0])
-                hold_ms = 0  # the picture has grown old: the next reply is wanted at once
-                await asyncio.sleep(0.1)
-                continue
-            turn, now = turn + 1, now_ns()
-            self.members.met(now, [news.me, *news.cards])
-            for piece in news.pieces:
-                self.news.take(now, piece)
-            if table is not None:
-                self.take_table(table)
-            self.relist()
-            if not news.sure:
-                # Guards against one that is cut off from the others and goes on telling what is old.
-                self.upstream.failed(now, at[0])
-                hold_ms = 0 if hold_ms else PULL_MS
-                await asyncio.sleep(0.05)
-            else:
-                hold_ms = PULL_MS
-            self.picture.told(asked_ns, news.sure)
-            self.settle(now)
+                await self.pull()
+            except BrokenInvariant:
+                raise
+            except Exception:
+                log.exception("a pull failed")
+                self.hold_ms = 0
+                await asyncio.sleep(0.5)
+
+    async def pull(self) -> None:
+        """One question to one signalbox, and what its reply tells."""
+        now = now_ns()
+        seeds = self.members.lonely(self.boot.seeds, self.boot.inner)
+        at = self.upstream.choose(now, self.members.voters(), seeds)
+        if at is None:
+            await asyncio.sleep(0.2)
+            return
+        cards = (self.members.me,) if self.turn % 5 == 0 else ()
+        sums, self.sums = self.sums, Sums()
+        pull = post.Pull(
+            self.members.me,
+            cards,
+            self.news.vector(),
+            self.table.version if self.table else 0,
+            self.hold_ms,
+            sums.pack() if sums else None,
+        )
+        asked_ns = now_ns()
+        try:
+            news = post.read_news(await self.peer(*at).call(b"/pull", pull.pack(), PULL_S))
+            table = load_table(news.table[1]) if news.table else None
+        except (NoAnswer, *post.SHAPE) as trouble:
+            log.info("no news from {}: {}", at[0], trouble)
+            self.sums.add(sums.pack())
+            self.upstream.failed(now_ns(), at[0])
+            self.hold_ms = 0  # the picture has grown old: the next reply is wanted at once
+            await asyncio.sleep(0.1)
+            return
+        self.turn, now = self.turn + 1, now_ns()
+        self.members.met(now, [news.me, *news.cards])
+        for piece in news.pieces:
+            self.news.take(now, piece)
+        if table is not None:
+            self.take_table(table)
+        self.relist()
+        if not news.sure:
+            # Guards against one that is cut off from the others and goes on telling what is old.
+            self.upstream.failed(now, at[0])
+            self.hold_ms = 0 if self.hold_ms else PULL_MS
+            await asyncio.sleep(0.05)
+        else:
+            self.hold_ms = PULL_MS
+        self.picture.told(asked_ns, news.sure)
+        self.settle(now)
 
     # -- from time to time
 
@@ -475,7 +488,7 @@
         await self.polls.open(*self.boot.bind["readyz"])
         await self.door.open(*self.boot.bind["http"])
         log.info("{} serves", self.boot.node)
-        self.tasks.start(self.pull())
+        self.tasks.start(self.pulls())
         self.tasks.start(self.tasks.every(1.0, self.second))
         self.tasks.start(self.tasks.every(TICK_S, self.half))
         self.tasks.start(self.tasks.every(SUMMARY_S, self.summary))
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -273,6 +273,24 @@
     fleet.run(whole())
 
 
+def test_a_fault_in_one_pull_does_not_end_the_next(fleet: Fleet) -> None:  # noqa: F811
+    async def whole() -> None:
+        node = await plan(fleet)
+        work, failed = node.take_table, []
+
+        def fails(table: Any) -> None:
+            node.take_table = work
+            failed.append(table.version)
+            raise RuntimeError("as if something were wrong with it")
+
+        node.take_table = fails
+        assert await fleet.replace(1, 2, ROUTES) == 200
+        await until(lambda: node.table.version == 2, "it is in force all the same")
+        assert failed == [2]
+
+    fleet.run(whole())
+
+
 TERMS: dict[str, Any] = {
     "unknown contracts": {"contracts": ["base", "no such part"]},
     "unknown bounds": {"bounds": {"nobodyKnowsMs": True, "part": 0.5, "whole": 7, "no": False}},
