--- a/meadowworks/depot/disk.py
+++ b/meadowworks/depot/disk.py
@@ -46,7 +46,10 @@
     def __init__(self, folder: str | Path) -> None:
         path = Path(folder)
         path.mkdir(parents=True, exist_ok=True)
-        self.db = sqlite3.connect(path / "timetable.db", check_same_thread=False, isolation_level=None)
+        self.open(sqlite3.connect(path / "timetable.db", check_same_thread=False, isolation_level=None))
+
+    def open(self, db: sqlite3.Connection) -> None:
+        self.db = db
         # Exclusive before WAL: the index is then in the process and no memory is shared. FULL: a commit is
         # on the disk when it returns, by one sync.
         self.db.execute("PRAGMA locking_mode=EXCLUSIVE")
--- /dev/null
+++ b/meadowworks/lab/campaign.py
@@ -0,0 +1,85 @@
+"""Many days of `meadowworks lab control`: over seeds, on some processes, with a guard taken out or none."""
+
+from __future__ import annotations
+
+import json
+import multiprocessing
+import re
+import sys
+from dataclasses import asdict
+from functools import partial
+from typing import Any
+
+from meadowworks.commands import Bad
+from meadowworks.lab import drill, guards
+from meadowworks.lab.control import Counts
+
+Found = tuple[int, Counts, list[str]]
+
+
+def main(point: int, seeds: str, without: str, listed: bool, processes: int, as_json: bool) -> int:
+    if listed:
+        print("\n".join(f"{guard.name:24} {guard.text}" for guard in guards.GUARDS))
+        return 0
+    if point not in drill.POINTS:
+        raise Bad(f"there is no point {point}: there are {', '.join(map(str, drill.POINTS))}")
+    if (match := re.fullmatch(r"(\d{1,9}):(\d{1,9})", seeds)) is None or int(match[1]) >= int(match[2]):
+        raise Bad(f"--seeds are A:B with A below B, not {seeds[:40]!r}")
+    if without and without not in guards.NAMES:
+        raise Bad(f"there is no guard {without!r}: --guards lists them")
+    if not 1 <= processes <= 16:
+        raise Bad("--processes is from 1 to 16")
+    days = range(int(match[1]), int(match[2]))
+    total, found, complete = run(point, days, without, processes)
+    if as_json:
+        shown: dict[str, Any] = {"point": point, "seeds": seeds, **asdict(total)}
+        print(json.dumps(shown | {"without": without, "complete": complete, "found": found}))
+    else:
+        rows = {"point": point, "seeds": seeds, **asdict(total)}
+        print("\n".join(f"{name:24} {value}" for name, value in rows.items()))
+        print("\n".join(found[:20]))
+    if not complete:
+        return 130
+    return 1 if total.faults() else 0
+
+
+def run(point: int, days: range, without: str, processes: int) -> tuple[Counts, list[str], bool]:
+    """The sum of the days, what was found, and whether all days were played."""
+    total, done = Counts(), 0
+    found: list[str] = []
+    act = partial(day, point, without)
+    try:
+        if processes == 1 or len(days) == 1:
+            for one in map(act, days):
+                done += 1
+                take(total, found, one)
+        else:
+            with multiprocessing.Pool(min(processes, len(days)), ignore) as pool:
+                for one in pool.imap_unordered(act, days):
+                    done += 1
+                    take(total, found, one)
+                    if done % 50 == 0:
+                        print(f"lab control: {done} of {len(days)} days", file=sys.stderr, flush=True)
+    except KeyboardInterrupt:
+        print(f"lab control: ended after {done} of {len(days)} days", file=sys.stderr, flush=True)
+        return total, sorted(found), False
+    return total, sorted(found), True
+
+
+def ignore() -> None:
+    """A Ctrl-C is the first process's to hear."""
+    import signal
+
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
+def take(total: Counts, found: list[str], one: Found) -> None:
+    seed, counts, texts = one
+    total.add(counts)
+    found += [f"seed {seed}: {text}" for text in texts[:3]]
+
+
+def day(point: int, without: str, seed: int) -> Found:
+    with guards.taken_out(without):
+        truth = drill.play(point, seed)
+    return seed, truth.counts, truth.found
--- /dev/null
+++ b/meadowworks/lab/drill.py
@@ -0,0 +1,301 @@
+"""The points of `meadowworks lab control`: what befalls the machines on a day."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+from meadowworks.lab.control import NEVER, Box, Day, Order, Truth
+from meadowworks.lab.network import MS, SECOND
+
+Trace = Callable[[str], None]
+
+
+def cut_off(day: Day) -> None:
+    """Some machines are cut off for twenty seconds, both ways, one way or frozen; orders and reads go on."""
+    chance = day.chance
+    day.busy(3 * SECOND, 33 * SECOND, (150, 1200), day.order_now)
+    lost = chance.sample(day.voters(), chance.randint(1, day.tolerate))
+
+    def cut() -> None:
+        for box in lost:
+            day.isolate(box, chance.choice(["both", "in", "out", "frozen", "both"]))
+
+    def back() -> None:
+        day.heal()
+        for box in day.voters():
+            day.level(box)
+
+    start = 5 * SECOND + chance.randrange(SECOND)
+    day.time.at(start, cut)
+    if chance.random() < 0.3:  # a cut that comes and goes
+        day.time.at(start + 6 * SECOND, day.heal)
+        day.time.at(start + 6 * SECOND + chance.randrange(2 * SECOND), cut)
+    day.time.at(start + 20 * SECOND, back)
+    day.time.run(34 * SECOND)
+
+
+def one_number(day: Day) -> None:
+    """Several operators under one number; answers are lost, orders come again, processes end, power goes."""
+    chance = day.chance
+
+    def some() -> None:
+        day.order_now(chance.choice([0.1, 0.4, 0.8]), chance.choice([0, 1, 1, 2, 3]))
+        if chance.random() < 0.5:
+            day.time.after(chance.randrange(20, 3000) * MS, day.resend)
+        fate = chance.random()
+        if fate < 0.25:
+            day.time.after(chance.randrange(5, 400) * MS, partial(all_stop, day, True))
+        elif fate < 0.35:
+            day.time.after(chance.randrange(5, 400) * MS, partial(all_stop, day, False))
+        elif fate < 0.7:
+            day.time.after(chance.randrange(2, 400) * MS, partial(one_stops, day))
+
+    day.busy(3 * SECOND, 28 * SECOND, (300, 3000), some)
+    day.time.run(30 * SECOND)
+
+
+def all_stop(day: Day, power: bool) -> None:
+    """All processes are killed, or lose power, at once or within some ms, with their disks."""
+    for box in list(day.boxes.values()):
+        if not box.removed and box.up:
+            at = day.chance.choice([0, day.chance.randrange(30 * MS)])
+            day.time.after(at, partial(day.kill, box, power))
+            day.time.after(at + SECOND // 5 + day.chance.randrange(SECOND), partial(come_back, day, box))
+
+
+def come_back(day: Day, box: Box) -> None:
+    if box.removed or box.up:
+        return
+    day.restart(box)
+    if box in day.posts and day.lost[day.posts.index(box)] < NEVER:
+        day.there(day.posts.index(box))
+
+
+def one_stops(day: Day) -> None:
+    boxes = [b for b in day.voters() if b.up]
+    if boxes:
+        box = day.chance.choice(boxes)
+        day.kill(box, day.chance.random() < 0.6)
+        day.time.after(day.chance.randrange(50, 2500) * MS, partial(come_back, day, box))
+
+
+def replaced(day: Day) -> None:
+    """Machines are replaced, planned and suddenly, wiped, cut off and killed meanwhile; the next loss comes
+    as soon as it may."""
+    chance = day.chance
+    day.busy(3 * SECOND, 42 * SECOND, (100, 900), partial(day.order_now, 0.1))
+    acts = [sudden, sudden, wiped, wiped, planned, planned, powerless, still, split, everywhere]
+
+    def step() -> None:
+        if day.time.now > 38 * SECOND:
+            return
+        act = chance.choice(acts)
+        free = day.free()
+        if act in (split, everywhere):
+            act(day, -1)
+        elif free:
+            act(day, chance.choice(free))
+        mood = chance.random()
+        ends = [u for u in day.lost if day.time.now < u < NEVER]
+        if mood < 0.4 and ends:  # right after it counts as there again
+            day.time.at(min(ends) + chance.randrange(30 * MS), step)
+        elif mood < 0.7:
+            day.time.after(chance.randrange(3 * SECOND), step)
+        else:
+            day.time.after(chance.randrange(7 * SECOND), step)
+
+    day.time.at(4 * SECOND, step)
+    day.time.run(44 * SECOND)
+    if chance.random() < 0.5 and day.free():
+        post = chance.choice(day.free())
+        day.lost[post] = NEVER
+        day.kill(day.posts[post], True)  # for good: the others are to go on without it
+
+
+def sudden(day: Day, post: int) -> None:
+    """A machine is gone for good, its successor starts elsewhere."""
+    day.lost[post] = NEVER
+    box = day.posts[post]
+    day.kill(box, True)
+    box.removed = True
+    day.time.after(day.chance.randrange(100, 3000) * MS, partial(successor, day, post))
+
+
+def successor(day: Day, post: int) -> None:
+    day.posts[post] = day.add()
+    day.restart(day.posts[post])
+    day.there(post)
+
+
+def wiped(day: Day, post: int) -> None:
+    """A machine comes back at its address with an empty disk."""
+    day.lost[post] = NEVER
+    box = day.posts[post]
+    day.kill(box, day.chance.random() < 0.5)
+
+    def back() -> None:
+        box.wipe()
+        day.restart(box)
+        day.there(post)
+
+    day.time.after(day.chance.randrange(50, 3000) * MS, back)
+
+
+def planned(day: Day, post: int) -> None:
+    """A successor starts, and its predecessor leaves, in either order; some leavers are killed half-way."""
+    chance, old = day.chance, day.posts[post]
+    day.lost[post] = NEVER
+
+    def go() -> None:
+        day.trouble()
+        old.leave(6 * SECOND)
+        if chance.random() < 0.3:
+            day.time.after(chance.randrange(5, 600) * MS, partial(day.kill, old, chance.random() < 0.5))
+
+        def gone() -> None:
+            day.kill(old, False)
+            old.removed = True
+
+        day.time.after(6 * SECOND + 50 * MS, gone)
+
+    if chance.random() < 0.5:
+        successor(day, post)
+        day.time.after(chance.randrange(300, 5000) * MS, go)
+    else:
+        go()
+        day.time.after(chance.randrange(300, 5000) * MS, partial(successor, day, post))
+
+
+def powerless(day: Day, post: int) -> None:
+    """A machine loses power and comes back with its disk."""
+    day.lost[post] = NEVER
+    day.kill(day.posts[post], True)
+
+    def back() -> None:
+        day.restart(day.posts[post])
+        day.there(post)
+
+    day.time.after(day.chance.randrange(50, 6000) * MS, back)
+
+
+def still(day: Day, post: int) -> None:
+    """A machine is frozen for some seconds."""
+    box = day.posts[post]
+    day.lost[post] = NEVER
+    day.isolate(box, "frozen")
+
+    def back() -> None:
+        day.trouble()
+        box.thaw()
+        day.disturbed = any(b.frozen for b in day.boxes.values())
+        day.there(post)
+
+    day.time.after(day.chance.randrange(100, 9000) * MS, back)
+
+
+def split(day: Day, post: int) -> None:
+    """Machines are cut into two halves for some seconds: more than may be lost, but nothing wrong is said."""
+    boxes = [b.address for b in day.voters()]
+    day.chance.shuffle(boxes)
+    near = day.chance.randint(1, len(boxes) - 1)
+    oneway = day.chance.random() < 0.3
+    day.trouble()
+    day.disturbed = True
+    day.note("#", f"cut: {boxes[:near]} from {boxes[near:]}{' one way' if oneway else ''}")
+    for one in boxes[:near]:
+        for other in boxes[near:]:
+            day.network.cut(one, other)
+            if not oneway:
+                day.network.cut(other, one)
+
+    def back() -> None:
+        day.trouble()
+        day.network.join()
+        day.disturbed = False
+        for p, until in enumerate(day.lost):
+            if until < NEVER:
+                day.there(p)
+
+    wait = day.chance.randrange(200, 6000) * MS
+    for p, until in enumerate(day.lost):
+        day.lost[p] = max(until, day.time.now + wait + MS)
+    day.time.after(wait, back)
+
+
+def everywhere(day: Day, post: int) -> None:
+    """All processes are killed or lose power at once, disks stay; of as many as may be lost they may go."""
+    gone = [p for p in day.free() if day.posts[p].up]
+    all_stop(day, day.chance.random() < 0.6)
+    if gone and day.chance.random() < 0.5:
+        post = day.chance.choice(gone)
+        box = day.posts[post]
+        day.lost[post] = NEVER
+
+        def back() -> None:
+            if not box.up:
+                box.wipe()
+                day.restart(box)
+            day.there(post)
+
+        day.kill(box, True)
+        box.wipe()
+        day.time.after(day.chance.randrange(100, 3000) * MS, back)
+
+
+def hundreds(day: Day) -> None:
+    """Hundreds of changes while a member is away; then all are killed at once; then it is back."""
+    chance = day.chance
+    most = 1000 if chance.random() < 0.05 else chance.randrange(150, 400)
+    gap = chance.randrange(15, 60) * MS
+    post = chance.randrange(len(day.posts))
+    box, how = day.posts[post], chance.choice(["frozen", "wiped", "down", "both", "out", "in"])
+    end = 4 * SECOND + most * gap
+
+    def change() -> None:
+        if day.time.now > end + 3 * SECOND or len(day.orders) >= most:
+            return
+        version = day.highest + chance.choice([1, 1, 2])
+        day.orders.append(Order(day, version, b"%d " % version + bytes(chance.randrange(50, 3000)), 0.02))
+        day.time.after(gap, change)
+
+    day.time.at(3 * SECOND, change)
+    day.busy(3 * SECOND, end + 12 * SECOND, (400, 2000), day.resend)
+
+    def away() -> None:
+        day.lost[post] = NEVER
+        if how in ("wiped", "down"):
+            day.kill(box, chance.random() < 0.5)
+        else:
+            day.isolate(box, how)
+
+    def back() -> None:
+        day.heal()
+        if how == "wiped":
+            box.wipe()
+        if not box.up:
+            day.restart(box)
+        day.there(post)
+
+    start, until = 3 * SECOND + chance.randrange(SECOND), end - chance.randrange(end // 2)
+    day.time.at(start, away)
+    if chance.random() < 0.5:
+        def stop() -> None:
+            all_stop(day, chance.random() < 0.5)
+
+        day.time.at(max(start, until - chance.randrange(3 * SECOND)) + 1, stop)
+    there = max(start, until) + 2 * SECOND
+    day.time.at(there, back)
+    if chance.random() < 0.3:
+        day.time.at(there + chance.randrange(100, 5000) * MS, partial(all_stop, day, True))
+    day.time.run(end + 12 * SECOND)
+
+
+POINTS: dict[int, Callable[[Day], None]] = {1: cut_off, 2: one_number, 3: replaced, 4: hundreds}
+
+
+def play(point: int, seed: int, trace: Trace | None = None) -> Truth:
+    """One day of a point. Raises what the machines raise."""
+    day = Day(seed * 8 + point, trace)
+    POINTS[point](day)
+    return day.finish(restore=point != 3)
