--- a/meadowworks/timetable/replica.py
+++ b/meadowworks/timetable/replica.py
@@ -564,7 +564,10 @@
         found = {
             disk: peer.seen.address
             for disk, peer in self.peers.items()
-            if peer.seen.wants and now - peer.heard_ns < SILENT_NS and not self.acceptor.epoch.has(disk)
+            if peer.seen.wants
+            and peer.seen.epoch >= self.acceptor.epoch.number  # said since it may know itself out
+            and now - peer.heard_ns < SILENT_NS
+            and not self.acceptor.epoch.has(disk)
         }
         if self.acceptor.wants and not self.acceptor.epoch.has(self.acceptor.disk):
             found[self.acceptor.disk] = self.acceptor.address  # a founder, in epoch 0
