--- a/meadowworks/lab/control.py
+++ b/meadowworks/lab/control.py
@@ -93,6 +93,7 @@
         self.accepts: dict[tuple[int, Any], set[str]] = defaultdict(set)
         self.installs: dict[int, set[str]] = defaultdict(set)
         self.epochs: dict[int, Epoch] = {}
+        self.epoch_of: dict[str, int] = {}  # of a disk
         self.in_force = -1  # the newest epoch that a majority of its members has installed
         self.sets: dict[int, tuple[tuple[str, str], ...]] = {}
 
@@ -111,9 +112,13 @@
     def written(self, box: Box, effect: Write) -> None:
         """What is on a disk now."""
         rows, name = effect.rows, box.replica.acceptor.disk
+        if rows.meta is not None:
+            self.epoch_of[name] = rows.meta["epoch"][0]
         for version, slot in rows.slots.items():
             if slot is None or not version or slot.accepted.epoch < 1:
                 continue
+            if slot.accepted.epoch != self.epoch_of[name]:
+                continue  # a copy that came with a change of members
             epoch = self.epochs.get(slot.accepted.epoch)
             voters = self.accepts[version, slot.accepted]
             if name in voters:
--- a/meadowworks/lab/disks.py
+++ b/meadowworks/lab/disks.py
@@ -82,7 +82,7 @@
         mood = self.chance.random()  # most of it kept, most of it lost, or each by itself
         keep = 0.95 if mood < 0.25 else 0.05 if mood < 0.5 else self.chance.random()
         names = {}
-        for name in self.names.keys() | self.certain.keys():
+        for name in sorted(self.names.keys() | self.certain.keys()):
             now, before = self.names.get(name), self.certain.get(name)
             found = now if now is before or self.chance.random() < keep else before
             if found is not None:
--- a/meadowworks/lab/network.py
+++ b/meadowworks/lab/network.py
@@ -71,6 +71,6 @@
     def join(self) -> None:
         """All links are whole again."""
         cuts, self.cuts = self.cuts, set()
-        for link in cuts:
+        for link in sorted(cuts):
             for sent, arrive in self.held.pop(link, []):
                 self.carry(*link, sent, arrive)
