--- a/meadowworks/timetable/replica.py
+++ b/meadowworks/timetable/replica.py
@@ -555,7 +555,7 @@
             if disk in (self.acceptor.disk, self.acceptor.seat):
                 continue
             peer = self.peers.get(disk)
-            since = max(peer.heard_ns if peer else 0, self.born_ns)
+            since = max(peer.heard_ns, self.born_ns) if peer else max(self.epoch_ns, self.born_ns)
             if now - since > SILENT_NS:
                 found.append((since, disk))
         return [disk for _, disk in sorted(found)]
