--- a/meadowworks/lab/control.py
+++ b/meadowworks/lab/control.py
@@ -262,6 +262,7 @@
                 if not power:  # a killed process may have ended its write
                     self.day.truth.written(self, self.writing)
         self.up, self.writing, self.timer = False, None, 0
+        self.removed = self.removed or self.leaving  # nobody starts it again
         self.inbox, self.answers, self.polls = [], {}, []
         self.life += 1
         if power:
