--- a/meadowworks/depot/disk.py
+++ b/meadowworks/depot/disk.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -19,6 +19,7 @@
 CREATE TABLE IF NOT EXISTS history (version INTEGER PRIMARY KEY, digest BLOB);
 CREATE TABLE IF NOT EXISTS slots (version INTEGER PRIMARY KEY, promised BLOB, accepted BLOB, content BLOB);
 CREATE TABLE IF NOT EXISTS lives (ident TEXT PRIMARY KEY, value BLOB);
+CREATE TABLE IF NOT EXISTS fences (ident TEXT PRIMARY KEY, value BLOB);
 """
 
 
@@ -106,5 +107,20 @@
     def lives(self) -> dict[str, bytes]:
         return dict(self.db.execute("SELECT ident, value FROM lives").fetchall())
 
+    def keep_fences(self, rows: Mapping[str, bytes], gone: Collection[str]) -> None:
+        """Lives that are draining or gone: what this has returned from is owed to whoever was told so."""
+        self.db.execute("BEGIN")
+        try:
+            self.db.executemany("DELETE FROM fences WHERE ident = ?", [(ident,) for ident in gone])
+            self.db.executemany("INSERT OR REPLACE INTO fences VALUES (?, ?)", list(rows.items()))
+            self.db.execute("COMMIT")
+        except BaseException:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+            raise
+
+    def fences(self) -> dict[str, bytes]:
+        return dict(self.db.execute("SELECT ident, value FROM fences").fetchall())
+
     def close(self) -> None:
         self.db.close()
