--- a/meadowworks/telegraph/post.py
+++ b/meadowworks/telegraph/post.py
@@ -27,9 +27,9 @@
 class Pull:
     """`table` is the version of the configuration that is held; `figures` what the asker has counted since
     its last pull; `wait_ms` how long the answer may be held back for want of urgent news; `epoch` the number
-    of the newest epoch of members that a signalbox knows, none from a junction; `kept` a receipt: a process of
-    the asked box, and the version of its news up to which all drains and leaves are on the asker's disk. The
-    vector is none: it tells what is in memory."""
+    of the newest epoch of members that a signalbox knows, none from a junction; `kept` a receipt: a process
+    of the asked box, and the version of its news up to which all drains and leaves are on the asker's disk.
+    The vector is none: it tells what is in memory."""
 
     me: Card
     cards: tuple[Card, ...]
