Model timetable: epochs, replacements, cuts, loss of power and leavers, on the new classes

Change: scenes of Acceptor, Proposer, Change, Reader and Teacher: the old ones (race, begun anew, two versions, finished by another, five disks, wiped disks, lost replies) and planned, sudden and double replacement, a wiped disk at its address, cuts 2|2 and 3|1, a change left half-way, two sets, founding, readers, leavers, restarts under the next life and without a vote; eleven properties. Ballots are named and lives counted by Replica's own code.

--- a/meadowworks/check/models/timetable.py
+++ b/meadowworks/check/models/timetable.py
@@ -1,180 +1,447 @@
-"""One register a version: `meadowworks.timetable.register.Box`es on disks that are wiped or replaced, and
-`Proposal`s that race, are given up, begun anew, or finish what another began.
-
-A letter and its reply are one step, or the reply is lost: what a proposal has heard only tells when its next
-letters go, and those are steps of their own. A box's answer is on its disk when it leaves; a loss of power
-therefore is a proposal's end, and a wiped disk, or an empty one in its place, is a box that must enter anew.
-Voters are told apart by disk, as if each empty one stood at another address.
+"""One register a version and one of members an epoch: `meadowworks.timetable.register.Acceptor`s on disks
+that are wiped, replaced, restarted and taken off, and `Proposer`s, `Change`s, `Reader`s and `Teacher`s that
+race, are given up, begun anew, or finish what another began, as `replica.Replica` has them do.
+
+A request and its reply are one step, or the reply is lost: what a proposer has heard only tells when its next
+requests go, and those are steps of their own; one that got no reply may be asked again. An acceptor's answer
+is on its disk when it leaves (the model `replica` looks at that), also to its own proposer: a loss of power
+of a proposer's box before any of its writes is a crash before the step in which it asks itself. A cut needs
+no clock: every proposer may go on, whoever it no longer reaches.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache, partial
 from itertools import combinations
 from typing import Any
 
 from meadowworks.check.model import Model, Property, Step
 from meadowworks.timetable.register import (
-    NONE,
+    MEMBERSHIP,
+    Accept,
+    Accepted,
+    Acceptor,
     Again,
     Ballot,
-    Box,
+    Change,
     Chosen,
-    Entering,
+    Epoch,
+    Fetch,
     Held,
+    Install,
+    Moved,
+    Newer,
     Overtaken,
+    Prepare,
     Promised,
-    Proposal,
+    Proposer,
+    Read,
+    Reader,
+    Request,
+    Seal,
+    Seen,
     Slot,
+    State,
+    Teach,
+    Teacher,
     Whole,
-    need,
+    digest,
 )
+from meadowworks.timetable.replica import Job, Replica, acceptor_for, pack_members, unpack_members
+
+Members = tuple[tuple[str, str], ...]
+Op = Proposer | Change | Reader | Teacher
+BEGUN = Ballot(1, 1, "b.0")
+NOBODY: frozenset[frozenset[int]] = frozenset()
+
+
+def disks(*names: str) -> Members:
+    """Members by their disks: `a` stands at place 0, `b` at 1; `c2` is the second disk at place 2."""
+    return tuple(sorted((name, str(ord(name[0]) - ord("a"))) for name in names))
 
 
 @dataclass(frozen=True, slots=True)
-class Scene:
-    """`wants`: for each proposer its home box, version and content (none: it finishes what others began)."""
+class Want:
+    """What a proposer is for. `kind`: put and finish a version, members (propose them; without any, finish
+    what another has proposed), change (carry the scene's chosen one through), carry (one that it finds itself
+    sealed by), read, leave. `epoch`: it begins in this one alone; -1: in any."""
+
+    home: int
+    kind: str
+    version: int = 0
+    content: bytes | None = None
+    members: Members = ()
+    epoch: int = -1
 
-    name: str
-    tolerate: int = 1
-    wants: tuple[tuple[int, int, bytes | None], ...] = ((0, 1, b"a"), (1, 1, b"b"))
-    tries: tuple[int, ...] = (1, 1)
-    wipes: int = 1
-    wiped: tuple[int, ...] = (0, 1, 2)  # disks that may be
-    losses: int = 0  # replies lost
-    spread: bool = False  # boxes tell each other what they know to be chosen
 
-    @property
-    def boxes(self) -> int:
-        return 2 * self.tolerate + 1
+@dataclass(frozen=True, slots=True)
+class Scene:
+    name: str
+    wants: tuple[Want, ...]
+    tries: tuple[int, ...]
+    places: int = 3
+    members: Members = disks("a", "b", "c")  # of epoch 1; with `founding`, of the places that found
+    after: Members = ()  # chosen already as those of epoch 2, by `b`, with `a`; nothing is sealed yet
+    sealed: tuple[int, ...] = ()  # places that are sealed by it, and have it installed, as the scene begins
+    joined: tuple[int, ...] = ()
+    founding: bool = False
+    wiped: tuple[int, ...] = ()  # places whose disk may be replaced by an empty one, once
+    gone: tuple[int, ...] = ()  # places whose machine and disk may be lost for good, once
+    crashes: tuple[int, ...] = ()  # places that may lose power, once
+    off: tuple[int, ...] = ()  # places that may be restarted without a vote and then with one, once
+    lost: bool = False  # any reply may be lost
+    spread: bool = False  # acceptors tell each other what they know to be chosen
+    bring: bool = False  # members install others in their epoch
+    late: bool = False  # a request may be held up until after its sender has lost power or begun anew
+    cut: frozenset[frozenset[int]] = NOBODY  # pairs of places that will not reach each other
+
+
+def apart(one: Iterable[int], other: Iterable[int]) -> frozenset[frozenset[int]]:
+    return frozenset(frozenset((a, b)) for a in one for b in other)
+
+
+# What came of a request, by the proposer and the acceptor as they were: the acceptor, the proposer, its
+# outcome, the reply's epoch if it is a newer one, and what was done. Whom it asks next, too.
+Known = dict[tuple[Any, Any], Any]
+KNOWN_MOST = 1 << 18
 
 
 class World:
-    def __init__(self, scene: Scene) -> None:
-        self.scene = scene
+    """`kept` holds the acceptors as plain values, `made` those that the step in hand has touched. `known` is
+    what the machines have answered before; it is of one model, so that a seeded fault finds it empty."""
+
+    def __init__(self, scene: Scene, known: Known) -> None:
+        self.scene, self.known = scene, known
         self.did: list[tuple[Any, ...]] = []
-        self.boxes = [Box(sound=True) for _ in range(scene.boxes)]
-        self.disks = [0] * scene.boxes
-        self.need = need(scene.tolerate, scene.boxes)
-        self.entering: list[Entering | None] = [None] * scene.boxes
-        self.proposals: list[Proposal | None] = [None] * len(scene.wants)
-        self.asked: list[frozenset[int]] = [frozenset()] * len(scene.wants)
-        self.tries = list(scene.tries)
-        self.wipes, self.losses = scene.wipes, scene.losses
-        self.chosen: frozenset[tuple[int, bytes]] = frozenset()  # what may have been acknowledged
+        self.kept: list[Any] = [flat_acceptor(first(scene, k)) for k in range(scene.places)]
+        self.made: dict[int, Acceptor] = {}
+        self.numbers = [0] * scene.places  # of ballots, in memory
+        self.ops: list[Any] = [None] * len(scene.wants)
+        self.tries: list[int] = list(scene.tries)
+        self.left = (scene.wiped, scene.gone, scene.crashes, scene.off)
+        self.cut = NOBODY
+        self.late: tuple[Any, ...] = ()
+        self.chosen: tuple[tuple[int, int, bytes], ...] = ()  # epoch, version, content: may be acknowledged
+        self.tried: tuple[tuple[int, bytes], ...] = ()  # sets of members, and in which epoch proposed
+        if scene.after:
+            content = pack_members(scene.after)
+            self.chosen, self.tried = ((1, MEMBERSHIP, content),), ((1, content),)
+
+    # -- steps
 
     def enabled(self) -> Iterable[Step]:
         found: list[Step] = []
-        for p, (home, _, _) in enumerate(self.scene.wants):
-            proposal = self.proposals[p]
-            if (
-                self.tries[p]
-                and self.boxes[home].sound
-                and (proposal is None or proposal.outcome is None or not isinstance(proposal.outcome, Chosen))
-            ):
+        scene = self.scene
+        for p, want in enumerate(scene.wants):
+            if self.kept[want.home] is None:
+                continue
+            if self.tries[p] and self.may_begin(p, want):
                 found.append(("begin", p))
-            if proposal is not None and proposal.outcome is None:
-                for k in range(len(self.boxes)):
-                    if k not in self.asked[p]:
+            if self.ops[p] is not None:
+                for _, address in self.targets(p):
+                    k = int(address)
+                    if self.reaches(want.home, k):
                         found.append(("ask", p, k))
-                        if self.losses and self.boxes[k].sound:
+                        if scene.lost and k != want.home:
                             found.append(("lost", p, k))
-        unsound = sum(not box.sound for box in self.boxes)
-        for k, box in enumerate(self.boxes):
-            if box.sound:
-                if self.wipes and k in self.scene.wiped and unsound < self.scene.tolerate:
-                    found.append(("wipe", k))
-                if self.scene.spread:
-                    found += [
-                        ("tell", k, j)
-                        for j, other in enumerate(self.boxes)
-                        if other.sound and other.held.version < box.held.version
-                    ]
-            else:
-                entering = self.entering[k]
-                heard = entering.replies if entering else {}
-                found += [
-                    ("enter", k, j)
-                    for j, other in enumerate(self.boxes)
-                    if other.sound and self.who(j) not in heard
-                ]
+        for place, (_, to) in enumerate(self.late):
+            found += [("late", place, k) for k in to if self.kept[k] is not None]
+        wiped, gone, crashes, off = self.left
+        found += [("wipe", k) for k in wiped if self.kept[k] is not None]
+        found += [("gone", k) for k in gone if self.kept[k] is not None]
+        found += [("crash", k) for k in crashes if self.kept[k] is not None]
+        found += [("off", k) for k in off if self.kept[k] is not None]
+        found += [
+            ("on", k)
+            for k, kept in enumerate(self.kept)
+            if k in scene.off and kept is not None and not kept[3]
+        ]
+        if scene.spread or scene.bring:
+            for k, one in enumerate(self.kept):
+                for j, other in enumerate(self.kept):
+                    if k == j or one is None or other is None or not self.reaches(k, j):
+                        continue
+                    if scene.spread and other[8][0] < one[8][0]:
+                        found.append(("tell", k, j))
+                    if scene.bring and self.may_bring(one, other):
+                        found.append(("bring", k, j))
+        if scene.cut and not self.cut:
+            found.append(("cut",))
+        return found
+
+    def targets(self, p: int) -> Any:
+        at = "targets", self.ops[p]
+        if (found := self.known.get(at)) is None:
+            op = thaw_op(self.ops[p])
+            assert op is not None
+            found = self.known[at] = op.targets()
         return found
 
-    def who(self, k: int) -> str:
-        return f"{k}.{self.disks[k]}"
+    def may_begin(self, p: int, want: Want) -> bool:
+        epoch, installed, sealed, view = (self.kept[want.home][place] for place in (5, 6, 7, 11))
+        newest = max(epoch[0], view[0])
+        if want.epoch not in (-1, newest):
+            return False
+        if want.kind == "carry":
+            return bool(installed and sealed is not None)
+        if want.kind == "change":
+            return True
+        if want.kind in ("members", "leave"):
+            return bool(installed and sealed is None and epoch[0] == newest)
+        if want.kind == "put" and self.scene.cut and not self.cut:
+            return False  # before the cut, as in the scenes without one
+        if want.kind in ("put", "finish") and want.version <= self.kept[want.home][8][0]:
+            return False
+        return bool(newest > 0)
+
+    @staticmethod
+    def may_bring(one: Any, other: Any) -> bool:
+        """`one` votes, and has the other as a member that does not."""
+        epoch, installed, sealed, view = one[5], one[6], one[7], one[11]
+        return bool(
+            installed
+            and sealed is None
+            and view[0] <= epoch[0]
+            and epoch[0] > 0
+            and any(disk == other[0] for disk, _ in epoch[1])
+            and not (other[6] and other[5][0] >= epoch[0])
+            and max(other[5][0], other[11][0]) <= epoch[0]
+        )
+
+    def reaches(self, k: int, j: int) -> bool:
+        return self.kept[j] is not None and not (self.cut and frozenset((k, j)) in self.cut)
+
+    def at(self, k: int) -> Acceptor:
+        if k not in self.made:
+            self.made[k] = acceptor(self.kept[k])
+        return self.made[k]
 
     def do(self, step: Step) -> None:
-        self.did = []
         kind, *what = step
-        before = [(box.held, disk) for box, disk in zip(self.boxes, self.disks, strict=True)]
+        self.did, before = [], list(self.kept)
         getattr(self, "do_" + kind)(*what)
-        for box in self.boxes:  # on its disk before its answer leaves
-            box.changed, box.dirty = set(), False
-        for k, (held, disk) in enumerate(before):
-            if disk == self.disks[k] and self.boxes[k].sound:
-                self.did.append(
-                    (
-                        "held",
-                        held.version,
-                        held.content,
-                        self.boxes[k].held.version,
-                        self.boxes[k].held.content,
-                    )
-                )
+        for k, made in self.made.items():  # on its disk before its answer leaves
+            made.changed, made.meta, made.news = set(), False, False
+            self.kept[k] = flat_acceptor(made)
+        self.made = {}
+        self.did += [
+            ("kept", was, now)
+            for was, now in zip(before, self.kept, strict=True)
+            if was is not now and was is not None and now is not None and was[0] == now[0]
+        ]
 
     def do_begin(self, p: int) -> None:
+        want = self.scene.wants[p]
         self.tries[p] -= 1
-        home, version, content = self.scene.wants[p]
-        number = self.scene.tries[p] - self.tries[p]
-        slot = self.boxes[home].slots.get(version)
-        if slot:
-            number = max(number, slot.promised.number + 1)
-        self.proposals[p] = Proposal(
-            self.boxes[home].era, version, Ballot(number, f"p{p}"), content, self.need
-        )
-        self.asked[p] = frozenset()
+        self.hold_up(p)
+        home = self.at(want.home)
+        epoch = home.newest()
+        if want.kind == "change":
+            self.put(p, Change(epoch_of(1, self.scene.members), epoch_of(2, self.scene.after)))
+        elif want.kind == "carry":
+            assert home.sealed is not None
+            self.put(p, Change(home.epoch, home.sealed))
+        elif want.kind == "members" and home.sealed is None:
+            content = pack_members(want.members) if want.members else None
+            if content is not None:
+                self.tried = tuple(sorted({*self.tried, (epoch.number, content)}))
+            self.put(p, self.proposer(want.home, epoch, MEMBERSHIP, content))
+        elif want.kind in ("put", "finish"):
+            self.put(p, self.proposer(want.home, epoch, want.version, want.content))
+        else:
+            self.put(p, Reader(epoch), self.newest_chosen())
+
+    def newest_chosen(self) -> int:
+        return max((version for _, version, _ in self.chosen), default=0)
+
+    def proposer(self, home: int, epoch: Epoch, version: int, content: bytes | None) -> Proposer:
+        replica = Replica(self.at(home), 1, lambda: 0.5)
+        replica.number = self.numbers[home]
+        made = replica.proposer(epoch, version, Job("order", version, content, 0, []))
+        self.numbers[home] = replica.number
+        return made
+
+    def put(self, p: int, op: Op | None, floor: int | None = None) -> None:
+        if floor is None:
+            floor = self.ops[p][-1] if self.ops[p] else 0
+        self.ops[p] = None if op is None else flat_op(op, floor)
 
     def do_ask(self, p: int, k: int, heard: bool = True) -> None:
-        proposal = self.proposals[p]
-        assert proposal is not None
-        accepting = proposal.accepting
-        self.asked[p] |= {k}
-        reply = self.boxes[k].answer(proposal.letter())
+        kept = self.ops[p]
+        at = kept, self.kept[k]
+        if (found := self.known.get(at)) is None:
+            if len(self.known) >= KNOWN_MOST:
+                self.known.clear()
+            found = self.known[at] = answered(*at)
+        self.kept[k], op, outcome, newer, took = found
+        if took is not None:
+            self.did.append(took)
         if not heard:
-            self.losses -= 1
             return
-        proposal.heard(self.who(k), reply)
-        if proposal.accepting != accepting:
-            self.asked[p] = frozenset()
-        if isinstance(proposal.outcome, Chosen):
-            self.chosen |= {(proposal.outcome.version, proposal.outcome.content)}
-            self.boxes[self.scene.wants[p][0]].learn(proposal.outcome.version, proposal.outcome.content)
-        elif isinstance(proposal.outcome, Overtaken):
-            self.boxes[self.scene.wants[p][0]].learn(
-                proposal.outcome.held.version, proposal.outcome.held.content
-            )
+        if newer is not None:
+            self.at(self.scene.wants[p].home).told(newer)
+        self.ops[p] = op
+        if outcome is not None:
+            made = thaw_op(kept)
+            assert made is not None
+            made.outcome = outcome
+            self.outcome(p, made)
 
     def do_lost(self, p: int, k: int) -> None:
         self.do_ask(p, k, heard=False)
 
+    def outcome(self, p: int, op: Op) -> None:
+        """As a replica goes on; what it would begin anew by itself is a try."""
+        want = self.scene.wants[p]
+        home, floor = self.at(want.home), self.ops[p][-1]
+        match op.outcome:
+            case Chosen(version, content):
+                assert isinstance(op, Proposer)
+                self.chosen = tuple(sorted({*self.chosen, (op.epoch.number, version, content)}))
+                if version == MEMBERSHIP:
+                    after = Epoch(op.epoch.number + 1, unpack_members(content))
+                    return self.put(p, Change(op.epoch, after))
+                home.learn(version, content)
+                if want.kind == "leave":
+                    return self.put(p, Reader(home.newest()))
+                self.tries[p] = 0
+            case Overtaken(held, history):
+                home.learn(held.version, held.content, history)
+                if want.kind == "leave":
+                    return self.put(p, Reader(home.newest()))
+                self.tries[p] = 0
+            case Again(ballot):
+                self.numbers[want.home] = max(self.numbers[want.home], ballot.number)
+            case Moved(epoch, True):
+                return self.put(p, Change(op.epoch, epoch))
+            case Moved(epoch, False):
+                home.told(epoch)
+                if want.kind == "members" and isinstance(op, Change):
+                    self.tries[p] = 0
+                if want.kind == "leave" and not epoch.has(home.disk):
+                    self.leaves(p, want.home)
+            case Read(needs, version, address):
+                if want.kind == "read":
+                    self.did.append(("read", floor, needs))
+                    self.tries[p] = 0
+                elif isinstance(op, Teacher):
+                    least = min(op.epoch.majority, len(op.others))
+                    self.did.append(("handed", floor, self.knowing(floor, op), least))
+                    self.leaves(p, want.home)
+                elif needs <= home.held.version:
+                    me = (home.newest(), home.disk, home.held, home.past())
+                    return self.put(p, Teacher(*me), max(floor, home.held.version))
+                elif version > home.held.version:
+                    if self.kept[int(address)] is not None:
+                        whole = self.at(int(address)).answer(Fetch(home.newest().number))
+                        assert isinstance(whole, Whole)
+                        home.learn(whole.held.version, whole.held.content, whole.history)
+                    return self.put(p, Reader(home.newest()))
+                else:
+                    return self.put(p, self.proposer(want.home, home.newest(), needs, None))
+        self.put(p, None)
+
+    def knowing(self, version: int, op: Teacher) -> int:
+        """How many of those told hold a version, or a newer one."""
+        others = {disk for disk, _ in op.others}
+        return sum(
+            kept is not None and self.at(k).disk in others and self.at(k).held.version >= version
+            for k, kept in enumerate(self.kept)
+        )
+
+    def leaves(self, p: int, home: int) -> None:
+        """Its process ends, and its machine goes, with the disk."""
+        self.tries[p] = 0
+        self.do_gone(home)
+
+    def end_ops(self, home: int) -> None:
+        for p, want in enumerate(self.scene.wants):
+            if want.home == home:
+                self.hold_up(p)
+                self.ops[p] = None
+
+    def hold_up(self, p: int) -> None:
+        """Requests that are on their way, and not yet answered, come late."""
+        op = thaw_op(self.ops[p])
+        if self.scene.late and isinstance(op, Proposer | Change):
+            to = tuple(int(address) for _, address in op.targets())
+            self.late = tuple(sorted({*self.late, (flat_request(op.request()), to)}))
+
+    def do_late(self, place: int, k: int) -> None:
+        request, to = self.late[place]
+        rest = tuple(j for j in to if j != k)
+        left = [*self.late[:place], *([(request, rest)] if rest else []), *self.late[place + 1 :]]
+        self.late = tuple(sorted(left))
+        other, asked = self.at(k), thaw_request(request)
+        newest = other.newest().number
+        if isinstance(other.answer(asked), Promised | Accepted):
+            self.did.append(("took", asked.epoch, newest))
+
     def do_wipe(self, k: int) -> None:
-        """What its process was at goes with it."""
-        self.wipes -= 1
-        self.boxes[k] = Box(sound=False)
-        self.disks[k] += 1
-        for p, (home, _, _) in enumerate(self.scene.wants):
-            if home == k:
-                self.proposals[p], self.asked[p] = None, frozenset()
-
-    def do_enter(self, k: int, j: int) -> None:
-        entering = self.entering[k] or Entering(self.need)
-        self.entering[k] = entering
-        if entering.heard(self.who(j), self.boxes[j].answer(entering.letter())) and entering.next_round():
-            self.boxes[k], self.entering[k] = entering.box(), None
+        """What its process was at goes with it. It is told that this is not the first start."""
+        wiped, *rest = self.left
+        self.left = (tuple(j for j in wiped if j != k), *rest)  # type: ignore[assignment]
+        self.end_ops(k)
+        self.numbers[k] = 0
+        name = self.at(k).disk[0] + "2"
+        self.made[k] = start(
+            acceptor_for(None, disk=name, address=str(k), seeds=(), bootstrap=False, voting=True)
+        )
+
+    def do_gone(self, k: int) -> None:
+        wiped, gone, crashes, off = self.left
+        self.left = (wiped, tuple(j for j in gone if j != k), crashes, off)
+        self.end_ops(k)
+        self.numbers[k] = 0
+        self.made.pop(k, None)
+        self.kept[k] = None
+
+    def do_crash(self, k: int) -> None:
+        wiped, gone, crashes, off = self.left
+        self.left = (wiped, gone, tuple(j for j in crashes if j != k), off)
+        self.restart(k, True)
+
+    def do_off(self, k: int) -> None:
+        wiped, gone, crashes, off = self.left
+        self.left = (wiped, gone, crashes, tuple(j for j in off if j != k))
+        self.restart(k, False)
+
+    def do_on(self, k: int) -> None:
+        self.restart(k, True)
+
+    def restart(self, k: int, voting: bool) -> None:
+        """What is on the disk comes back, under the next life; what is in memory alone does not."""
+        self.end_ops(k)
+        self.numbers[k] = 0
+        old = self.at(k)
+        old.meta = True
+        meta = Replica(old, 1, lambda: 0.5).collect().meta
+        self.made[k] = start(
+            acceptor_for(
+                meta,
+                disk="",
+                address=old.address,
+                seeds=(),
+                bootstrap=False,
+                voting=voting,
+                held=old.held,
+                history=old.history,
+                slots=old.slots,
+            )
+        )
 
     def do_tell(self, k: int, j: int) -> None:
-        self.boxes[j].learn(self.boxes[k].held.version, self.boxes[k].held.content)
+        one = self.at(k)
+        self.at(j).answer(Teach(one.epoch.number, one.held, one.past()))
+
+    def do_bring(self, k: int, j: int) -> None:
+        one = self.at(k)
+        self.at(j).answer(Install(one.epoch.number, one.epoch, one.state()))
+
+    def do_cut(self) -> None:
+        self.cut = self.scene.cut
 
     # -- kept and told apart: plain values alone, so that what is kept is what tells worlds apart
 
@@ -184,148 +451,398 @@
     def key(self) -> Any:
         return (
             self.scene.name,
-            tuple(self.disks),
+            tuple(self.kept),
+            tuple(self.numbers),
+            tuple(self.ops),
             tuple(self.tries),
-            self.wipes,
-            self.losses,
-            tuple(sorted(self.chosen)),
-            tuple(
-                [
-                    (
-                        b.sound,
-                        b.era,
-                        b.held.version,
-                        b.held.content,
-                        tuple([(v, *s.promised, *s.accepted, s.content) for v, s in sorted(b.slots.items())]),
-                    )
-                    for b in self.boxes
-                ]
-            ),
-            tuple(
-                [
-                    None
-                    if e is None
-                    else (e.era, tuple([(w, plain(r)) for w, r in sorted(e.replies.items())]))
-                    for e in self.entering
-                ]
-            ),
-            tuple(
-                [
-                    None
-                    if p is None
-                    else (
-                        p.era,
-                        p.version,
-                        *p.ballot,
-                        p.content,
-                        p.accepting,
-                        plain(p.outcome),
-                        tuple(sorted(p.accepts)),
-                        tuple([(w, plain(r)) for w, r in sorted(p.promises.items())]),
-                    )
-                    for p in self.proposals
-                ]
-            ),
-            tuple([tuple(sorted(a)) for a in self.asked]),
+            self.left,
+            bool(self.cut),
+            self.late,
+            self.chosen,
+            self.tried,
         )
 
 
-def plain(what: Any) -> Any:
-    match what:
-        case Promised(ballot, accepted, content):
-            return (*ballot, *accepted, content)
-        case Whole(era, held, slots):
-            return era, held.version, held.content, tuple([(v, *p, *a, c) for v, p, a, c in slots])
-        case Chosen(version, content):
-            return "chosen", version, content
-        case Overtaken(held):
-            return "overtaken", held.version, held.content
-        case Again(era, ballot):
-            return "again", era, *ballot
-    return ()
+def answered(kept: Any, other: Any) -> Any:
+    """One request of a proposer and its reply, as `Known` has it."""
+    op, one = thaw_op(kept), acceptor(other)
+    assert op is not None
+    request = op.request()
+    newest = one.newest().number
+    reply = one.answer(request)
+    took = ("took", request.epoch, newest) if isinstance(reply, Promised | Accepted) else None
+    op.heard(one.name(request.epoch), reply)
+    newer = reply.epoch if isinstance(reply, Newer) else None
+    same = flat_acceptor(one)
+    return other if same == other else same, flat_op(op, kept[-1]), op.outcome, newer, took
+
+
+def first(scene: Scene, k: int) -> Acceptor:
+    """An acceptor as it is when the scene begins."""
+    disk = chr(ord("a") + k)
+    seeds = tuple(address for _, address in scene.members) if scene.founding else ()
+    founder = scene.founding and str(k) in seeds
+    made = start(acceptor_for(None, disk=disk, address=str(k), seeds=seeds, bootstrap=founder, voting=True))
+    if not scene.founding and (disk, str(k)) in scene.members:
+        made.epoch, made.installed = epoch_of(1, scene.members), True
+        if scene.after and disk in "ab":
+            made.slots[MEMBERSHIP] = Slot(BEGUN, BEGUN, pack_members(scene.after))
+        if k in scene.sealed:
+            made.sealed = epoch_of(2, scene.after)
+    if k in scene.joined:
+        made.answer(Install(2, epoch_of(2, scene.after), Acceptor("").state()))
+        made.changed, made.meta = set(), False
+    return made
+
+
+def start(made: Acceptor) -> Acceptor:
+    """Its first write, under a life of its own, is on the disk."""
+    Replica(made, 1, lambda: 0.5).start(0)
+    return made
+
+
+# -- plain values, and back
+
+
+def flat_acceptor(one: Acceptor) -> Any:
+    return (
+        one.disk,
+        one.address,
+        one.seat,
+        one.wants,
+        one.life,
+        (one.epoch.number, one.epoch.members),
+        one.installed,
+        None if one.sealed is None else (one.sealed.number, one.sealed.members),
+        (one.held.version, one.held.content),
+        one.past(),
+        flat_slots((v, s.promised, s.accepted, s.content) for v, s in sorted(one.slots.items())),
+        (one.view.number, one.view.members),
+    )
+
+
+def flat_slots(rows: Iterable[tuple[int, Ballot, Ballot, bytes]]) -> Any:
+    return tuple([(v, tuple(p), tuple(a), c) for v, p, a, c in rows])
+
+
+def flat_state(state: State) -> Any:
+    return (state.held.version, state.held.content), state.history, flat_slots(state.slots)
 
 
-def outcome(kept: Any) -> Any:
+@lru_cache(4096)
+def epoch_of(number: int, members: Members) -> Epoch:
+    return Epoch(number, members)
+
+
+def slots_of(rows: Any) -> list[tuple[int, Ballot, Ballot, bytes]]:
+    return [(v, Ballot(*p), Ballot(*a), c) for v, p, a, c in rows]
+
+
+def state_of(kept: Any) -> State:
+    held, history, rows = kept
+    return State(Held(*held), history, tuple(slots_of(rows)))
+
+
+def acceptor(kept: Any) -> Acceptor:
+    disk, address, seat, wants, life, epoch, installed, sealed, held, history, rows, view = kept
+    return Acceptor(
+        disk,
+        address,
+        seat,
+        wants,
+        life,
+        epoch_of(*epoch),
+        installed,
+        None if sealed is None else epoch_of(*sealed),
+        Held(*held),
+        dict(history),
+        {v: Slot(p, a, c) for v, p, a, c in slots_of(rows)},
+        epoch_of(*view),
+    )
+
+
+def flat_op(op: Op, floor: int) -> Any:
+    """`floor`: the newest version that was chosen when it began, of readers and leavers."""
+    match op:
+        case Proposer():
+            # What was promised tells nothing any more once the second round is on.
+            promises = [] if op.accepting else sorted(op.promises.items())
+            return (
+                "proposer",
+                (op.epoch.number, op.epoch.members),
+                op.version,
+                tuple(op.ballot),
+                op.content,
+                op.accepting,
+                tuple(sorted(op.accepts)),
+                tuple([(who, tuple(p.ballot), tuple(p.accepted), p.content) for who, p in promises]),
+                floor,
+            )
+        case Change():
+            if op.installing:  # the states matter as what they come to, merged
+                merged = op.request()
+                assert isinstance(merged, Install)
+                op.states = {"": merged.state}
+            return (
+                "change",
+                (op.epoch.number, op.epoch.members),
+                (op.after.number, op.after.members),
+                op.installing,
+                tuple([(who, flat_state(state)) for who, state in sorted(op.states.items())]),
+                tuple(sorted(op.installed)),
+                floor,
+            )
+        case Reader():
+            seen = [
+                (who, s.epoch, s.votes, s.needs, s.version, s.disk, s.address, s.wants)
+                for who, s in sorted(op.seen.items())
+            ]
+            return "reader", (op.epoch.number, op.epoch.members), tuple(seen), floor
+    return (
+        "teacher",
+        (op.epoch.number, op.epoch.members),
+        op.others,
+        (op.held.version, op.held.content),
+        op.history,
+        tuple(sorted(op.know)),
+        floor,
+    )
+
+
+def thaw_op(kept: Any) -> Op | None:
     match kept:
-        case "chosen", version, content:
-            return Chosen(version, content)
-        case "overtaken", version, content:
-            return Overtaken(Held(version, content))
-        case "again", era, number, who:
-            return Again(era, Ballot(number, who))
+        case "proposer", epoch, version, ballot, content, accepting, accepts, promises, _:
+            proposer = Proposer(epoch_of(*epoch), version, Ballot(*ballot), content)
+            proposer.accepting, proposer.accepts = accepting, set(accepts)
+            proposer.promises = {w: Promised(Ballot(*b), Ballot(*a), c) for w, b, a, c in promises}
+            return proposer
+        case "change", epoch, after, installing, states, installed, _:
+            change = Change(epoch_of(*epoch), epoch_of(*after))
+            change.installing, change.installed = installing, set(installed)
+            change.states = {who: state_of(state) for who, state in states}
+            return change
+        case "reader", epoch, seen, _:
+            reader = Reader(epoch_of(*epoch))
+            reader.seen = {who: Seen(*rest) for who, *rest in seen}
+            return reader
+        case "teacher", epoch, others, held, history, know, _:
+            teacher = Teacher(epoch_of(*epoch), "", Held(*held), history)
+            teacher.others, teacher.know = others, set(know)
+            return teacher
     return None
 
 
-def slots(kept: Any) -> list[tuple[int, Ballot, Ballot, bytes]]:
-    return [(v, Ballot(pn, pw), Ballot(an, aw), c) for v, pn, pw, an, aw, c in kept]
+def flat_request(request: Request) -> Any:
+    match request:
+        case Prepare(epoch, version, ballot):
+            return "prepare", epoch, version, tuple(ballot)
+        case Accept(epoch, version, ballot, content):
+            return "accept", epoch, version, tuple(ballot), content
+        case Seal(epoch, after):
+            return "seal", epoch, (after.number, after.members)
+        case Install(epoch, after, state):
+            return "install", epoch, (after.number, after.members), flat_state(state)
+    raise ValueError(f"{request!r} changes nothing that lasts")
 
 
-def thaw(state: Any) -> World:
-    scene, (_, disks, tries, wipes, losses, chosen, boxes, entering, proposals, asked) = state
-    world = World(scene)
-    world.disks, world.tries, world.wipes, world.losses = list(disks), list(tries), wipes, losses
-    world.chosen, world.asked = frozenset(chosen), [frozenset(a) for a in asked]
-    world.boxes = [
-        Box(sound, era, Held(version, content), {v: Slot(p, a, c) for v, p, a, c in slots(rest)})
-        for sound, era, version, content, rest in boxes
-    ]
-    for k, kept in enumerate(entering):
-        if kept is not None:
-            one = world.entering[k] = Entering(world.need)
-            one.era = kept[0]
-            one.replies = {w: Whole(e, Held(v, c), tuple(slots(rest))) for w, (e, v, c, rest) in kept[1]}
-    for p, kept in enumerate(proposals):
-        if kept is not None:
-            era, version, number, who, content, accepting, end, accepts, promises = kept
-            made = world.proposals[p] = Proposal(era, version, Ballot(number, who), content, world.need)
-            made.accepting, made.outcome, made.accepts = accepting, outcome(end), set(accepts)
-            made.promises = {w: Promised(Ballot(a, b), Ballot(c, d), e) for w, (a, b, c, d, e) in promises}
-    return world
+def thaw_request(kept: Any) -> Request:
+    match kept:
+        case "prepare", epoch, version, ballot:
+            return Prepare(epoch, version, Ballot(*ballot))
+        case "accept", epoch, version, ballot, content:
+            return Accept(epoch, version, Ballot(*ballot), content)
+        case "install", epoch, after, state:
+            return Install(epoch, epoch_of(*after), state_of(state))
+        case "seal", epoch, after:
+            return Seal(epoch, epoch_of(*after))
+    raise ValueError(f"no request: {kept!r}")
+
+
+# -- properties
 
 
 def one_content(world: World) -> bool:
-    versions = [version for version, _ in world.chosen]
-    return len(versions) == len(set(versions))
+    """Of a version over all epochs, and of the members after an epoch."""
+    found: dict[Any, bytes] = {}
+    return all(
+        found.setdefault(version or ("after", epoch), content) == content
+        for epoch, version, content in world.chosen
+    )
+
+
+def one_ballot(world: World) -> bool:
+    """What was accepted under one ballot, or is being proposed under it, is one content."""
+    found: dict[Any, bytes] = {}
+    for kept in world.kept:
+        for version, _, ballot, content in kept[10] if kept is not None else ():
+            if ballot[0] >= 0 and found.setdefault((version, ballot), content) != content:
+                return False
+    for op in world.ops:
+        proposes = op is not None and op[0] == "proposer" and op[5]
+        if proposes and found.setdefault((op[2], op[3]), op[4]) != op[4]:
+            return False
+    return True
+
+
+def epochs(world: World) -> dict[int, Members] | None:
+    """Those that anybody has heard of; none if two of one number differ."""
+    found: dict[int, Members] = {}
+    told = [kept[place] for kept in world.kept if kept is not None for place in (5, 7, 11)]
+    told += [op[place] for op in world.ops if op is not None for place in (1, 2) if type(op[place]) is tuple]
+    for one in told:
+        known = one is not None and len(one) == 2 and type(one[0]) is int and one[0] >= 0
+        if known and found.setdefault(one[0], one[1]) != one[1]:
+            return None
+    return found
+
+
+def one_set(world: World) -> bool:
+    return epochs(world) is not None
+
+
+def named(kept: Any, epoch: int) -> str:
+    return str(kept[2] if epoch == 0 else kept[0])
+
+
+def members_vote(world: World) -> bool:
+    """Who votes in an epoch is one of its members, each once, and its majority is more than half of them."""
+    voting: dict[int, list[str]] = {}
+    for kept in world.kept:
+        if kept is not None and kept[6] and kept[7] is None and kept[11][0] <= kept[5][0]:
+            number, members = kept[5]
+            if not any(disk == named(kept, number) for disk, _ in members):
+                return False
+            voting.setdefault(number, []).append(named(kept, number))
+            if 2 * epoch_of(number, members).majority <= len(voting[number]):
+                return False
+    return all(len(set(names)) == len(names) for names in voting.values())
 
 
 def lasts(world: World) -> bool:
-    """Whoever asks enough sound boxes finds the newest that may have been acknowledged, or one above it."""
+    """Whoever asks a majority of an epoch in which it was chosen, or of a later one, finds it, or a newer."""
     if not world.chosen:
         return True
-    version, content = max(world.chosen)
-    sound = [box for box in world.boxes if box.sound]
+    known = epochs(world) or {}
+    for epoch, version, content in world.chosen:
+        if version == MEMBERSHIP:
+            continue
+        for number, members in known.items():
+            if number < epoch:
+                continue
+            names = {disk for disk, _ in members}
+            there = [
+                kept
+                for kept in world.kept
+                if kept is not None and kept[6] and kept[5][0] >= number and kept[0] in names
+            ]
+            if any(
+                not any(finds(kept, version, content) for kept in group)
+                for group in combinations(there, len(members) // 2 + 1)
+            ):
+                return False
+    return True
+
+
+def finds(kept: Any, version: int, content: bytes) -> bool:
+    held = kept[8]
+    if held[0] > version or held == (version, content):
+        return True
+    return any(v == version and a[0] >= 0 and c == content for v, _, a, c in kept[10])
+
+
+def true(world: World) -> bool:
+    """What a disk holds as chosen, whole or as a digest, was chosen."""
+    chosen = {(version, content) for _, version, content in world.chosen}
+    digests = {(version, digest(content)) for version, content in chosen}
     return all(
-        any(
-            box.held.version > version
-            or box.held == Held(version, content)
-            or (slot := box.slots.get(version)) is not None
-            and slot.accepted > NONE
-            and slot.content == content
-            for box in group
-        )
-        for group in combinations(sound, world.need)
+        (kept[8][0] == 0 or kept[8] in chosen) and digests.issuperset(kept[9])
+        for kept in world.kept
+        if kept is not None
     )
 
 
-def never_back(world: World) -> bool:
+def proposed(world: World) -> bool:
     return all(
-        after > before or after == before and content == was
-        for kind, before, was, after, content in world.did
-        if kind == "held"
+        (epoch, content) in world.tried for epoch, version, content in world.chosen if version == MEMBERSHIP
     )
 
 
+def never_back(world: World) -> bool:
+    return all(forward(was, now) for kind, was, now, *_ in world.did if kind == "kept")
+
+
+def forward(was: Any, now: Any) -> bool:
+    if now[4] < was[4] or now[5][0] < was[5][0]:
+        return False
+    if now[8] != was[8] and now[8][0] <= was[8][0]:
+        return False
+    if was[7] is not None and now[7] is None and now[5] == was[5]:
+        return False  # it was sealed, and votes again
+    rows = {version: (promised, accepted) for version, promised, accepted, _ in now[10]}
+    for version, promised, accepted, _ in was[10]:
+        stays = now[5] == was[5] if version == MEMBERSHIP else now[8][0] < version
+        if stays and (version not in rows or rows[version][0] < promised or rows[version][1] < accepted):
+            return False
+    return True
+
+
+def newer_deaf(world: World) -> bool:
+    return all(epoch >= newest for kind, epoch, newest, *_ in world.did if kind == "took")
+
+
+def not_old(world: World) -> bool:
+    return all(needs >= floor for kind, floor, needs, *_ in world.did if kind == "read")
+
+
+def handed_over(world: World) -> bool:
+    return all(row[2] >= row[3] for row in world.did if row[0] == "handed")
+
+
 PROPERTIES = (
     Property(
-        "one content", "of the contents sent under one number, one at most is ever acknowledged", one_content
+        "one content",
+        "of the contents sent under one number one at most is ever chosen, over all epochs",
+        one_content,
+    ),
+    Property("one ballot", "no ballot stands for two contents", one_ballot),
+    Property("one set", "no two epochs have one number and two sets of members", one_set),
+    Property(
+        "members vote",
+        "who votes in an epoch is a member of it, and its majority is more than half of who votes",
+        members_vote,
+    ),
+    Property(
+        "lasts",
+        "what was chosen is found by whoever asks a majority of that epoch or of any later one",
+        lasts,
     ),
-    Property("lasts", "what was acknowledged is found by whoever asks a majority of the sound disks", lasts),
+    Property("true", "what a disk holds or remembers as chosen was chosen", true),
+    Property("proposed", "the members of an epoch were proposed in the one before it", proposed),
     Property(
         "never back",
-        "a disk holds no version older than one it held, nor another content of it",
+        "a disk holds no version, epoch, promise or life older than one it held, nor another content of one, "
+        "and votes no more where it was sealed",
         never_back,
         "step",
     ),
+    Property(
+        "newer deaf to older",
+        "who has heard of an epoch promises and accepts in none before it",
+        newer_deaf,
+        "step",
+    ),
+    Property(
+        "not old",
+        "a reader is told of whatever was acknowledged before its first question left",
+        not_old,
+        "step",
+    ),
+    Property(
+        "handed over",
+        "what a leaver knows of as acknowledged is on a majority of the others' disks when it ends",
+        handed_over,
+        "step",
+    ),
 )
 
 
@@ -338,40 +855,92 @@
             return f"proposer {p} asks disk {k} and hears it"
         case "lost", [p, k]:
             return f"proposer {p} asks disk {k}, whose reply is lost"
+        case "late", [place, k]:
+            return f"held-up request {place} comes to disk {k}"
         case "wipe", [k]:
-            return f"disk {k} is replaced by an empty one"
-        case "enter", [k, j]:
-            return f"empty disk {k} asks disk {j}"
+            return f"disk {k} is replaced by an empty one at its address"
+        case "gone", [k]:
+            return f"machine {k} is lost with its disk"
+        case "crash", [k]:
+            return f"box {k} loses power and comes back with its disk"
+        case "off", [k]:
+            return f"box {k} is started anew and told not to vote"
+        case "on", [k]:
+            return f"box {k} is started anew and told to vote"
         case "tell", [k, j]:
-            return f"disk {k} tells disk {j} what is in force"
+            return f"disk {k} tells disk {j} what is chosen"
+        case "bring", [k, j]:
+            return f"disk {k} installs disk {j} in its epoch"
+        case "cut", []:
+            return "the core is cut"
     raise ValueError(f"no such step: {step!r}")
 
 
-def starts(large: bool) -> list[World]:
+ABC, ABCD, BCD, ABD, CDE, WIPED = (
+    disks(*names) for names in ("abc", "abcd", "bcd", "abd", "cde", ("a", "b", "c2"))
+)
+X, Y = b"x", b"y"
+
+
+def put(home: int, content: bytes = X, version: int = 1, epoch: int = -1) -> Want:
+    return Want(home, "put", version, content, (), epoch)
+
+
+def members(home: int, which: Members, epoch: int = -1) -> Want:
+    return Want(home, "members", members=which, epoch=epoch)
+
+
+def starts(large: bool, known: Known) -> list[World]:
+    race, change = (put(0, X), put(1, Y)), Want(1, "change")
+    two, one = apart((0, 2), (1, 3)), apart((0,), (1, 2, 3))
     scenes = [
-        Scene("a bystander's disk is replaced", wiped=(2,)),
-        Scene("begun anew", wipes=0, tries=(2, 1)),
-        Scene("two versions", wants=((0, 1, b"a"), (1, 2, b"b")), spread=True, wipes=0),
-        Scene("finished by another", wants=((0, 1, b"a"), (1, 1, None)), wiped=(0,), losses=1),
-        Scene("five disks", tolerate=2, wiped=(4,), wants=((0, 1, b"a"),), tries=(1,)),
+        Scene("begun anew", race, (2, 1)),
+        Scene("two versions", (put(0, X, 1), put(1, Y, 2)), (1, 1), spread=True),
+        Scene("finished by another", (put(0), Want(1, "finish", 1)), (1, 1), wiped=(0,), lost=True),
+        Scene("a bystander's disk is replaced", race, (1, 1), wiped=(2,)),
+        Scene("five disks", (put(0),), (1,), 5, disks(*"abcde"), wiped=(4,), lost=True),
+        Scene("power is lost", race, (2, 1), crashes=(0,)),
+        Scene("founding", (members(0, ABC, 0), members(1, disks("a", "b"), 0)), (1, 1), founding=True),
+        Scene("one comes in", (change, put(0)), (1, 1), 4, after=ABCD),
+        Scene("one goes out", (change, put(0)), (1, 1), 4, ABCD, BCD),
+        Scene("one is lost, another comes", (change, put(0)), (1, 1), 4, ABC, BCD, gone=(0,)),
+        Scene("two in a row", (change, members(2, CDE, 2), put(1)), (1, 1, 1), 5, ABC, BCD),
+        Scene("wiped at its address", (members(0, WIPED, 1), put(1)), (1, 1), wiped=(2,)),
+        Scene("cut in two", (change, put(0), put(1, Y)), (1, 1, 1), 4, ABC, ABCD, cut=two),
+        Scene("cut off alone", (change, put(0), put(1, Y)), (1, 1, 1), 4, ABC, ABCD, cut=one),
+        Scene("left half-way", (change, Want(0, "carry")), (1, 1), 4, ABC, BCD, crashes=(1,)),
+        Scene("left half-way, a version too", (Want(0, "carry"), put(2)), (1, 1), 4, ABC, BCD, (0,)),
+        Scene(
+            "installed at one", (Want(0, "carry"), put(2), put(3, Y)), (1, 1, 1), 4, ABC, BCD, (0, 1), (3,)
+        ),
+        Scene("two sets", (members(0, ABD), members(1, BCD)), (1, 1), 4),
+        Scene("a leaver", (put(0), Want(2, "leave")), (1, 1)),
+        Scene("a reader", (put(0), Want(1, "read")), (1, 1)),
+        Scene("a reader of the old", (change, put(1), Want(0, "read")), (1, 1, 1), 4, ABC, BCD),
+        Scene("not to vote for a while", (change, put(0)), (1, 1), 4, ABC, ABCD, off=(0,), bring=True),
+        Scene("held up", race, (1, 1), late=True),
     ]
-    if large:
-        scenes += [
-            Scene("any disk is replaced"),
-            Scene("two are, one after the other", wipes=2, wiped=(0, 2)),
-            Scene("begun anew, both", wipes=0, tries=(2, 2), losses=1),
-            Scene("five disks, a race", tolerate=2, wiped=(4,)),
-        ]
-    return [World(scene) for scene in scenes]
+    return [World(scene, known) for scene in scenes]
 
 
 def model(large: bool) -> Model:
+    known: Known = {}
     return Model(
         "timetable",
-        "versions of the configuration on a majority of disks",
-        lambda: starts(large),
-        thaw,
+        "versions of the configuration, and members, on majorities of disks",
+        lambda: starts(large, known),
+        partial(thaw, known),
         say,
         PROPERTIES,
         finished=lambda world: True,
     )
+
+
+def thaw(known: Known, state: Any) -> World:
+    scene, (_, kept, numbers, ops, tries, left, cut, late, chosen, tried) = state
+    world = World.__new__(World)
+    world.scene, world.known, world.did, world.made = scene, known, [], {}
+    world.kept, world.numbers, world.ops, world.tries = list(kept), list(numbers), list(ops), list(tries)
+    world.left, world.cut, world.late = left, scene.cut if cut else NOBODY, late
+    world.chosen, world.tried = chosen, tried
+    return world
