An acceptor installed again where it was keeps its seal and what it took of the next members

Cause: a member that was started with voting off, and then on, is on its disk in epoch n but not installed; Install(n) from a fellow (Replica.bring) or one held up then took its seal and its MEMBERSHIP slot away, so it voted where it was sealed and two sets could be chosen after one epoch; an older Install took it back an epoch. Shortest path (model timetable, start 'not to vote for a while'): box 0 is started anew and told not to vote; disk 1 installs disk 0 in its epoch. Change: install goes to no epoch below the newest one heard of or held, clears seal and register only where it goes forward, and makes no voter of who was told not to be one.

--- a/meadowworks/timetable/register.py
+++ b/meadowworks/timetable/register.py
@@ -312,11 +312,15 @@
         was never chosen."""
         if self.installed and self.epoch.number >= after.number:
             return Installed(self.epoch.number)
-        if not after.has(self.disk) or after.number < self.view.number:
+        if not after.has(self.disk) or after.number < self.newest().number:
             return Outside(self.epoch.number)
-        self.epoch, self.installed, self.sealed, self.meta = after, True, None, True
-        if self.slots.pop(MEMBERSHIP, None):
-            self.changed.add(MEMBERSHIP)
+        if not self.installed and not self.wants:
+            return Outside(self.epoch.number)  # told not to vote
+        if after.number > self.epoch.number:  # else it comes back to where it was, sealed or not
+            self.epoch, self.sealed = after, None
+            if self.slots.pop(MEMBERSHIP, None):
+                self.changed.add(MEMBERSHIP)
+        self.installed, self.meta = True, True
         self.merge(state)
         return Installed(after.number)
 
