--- a/meadowworks/junction/forward.py
+++ b/meadowworks/junction/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from meadowworks.attempts.again import DROPPED, UNRUN
@@ -84,13 +85,21 @@
     return None
 
 
-async def attempt(yard: Yard[Line], backend: Backend, request: Request, limit_ns: int) -> Tried:
-    """Never raises but for a cancel; the line is kept or ended."""
+async def attempt(
+    yard: Yard[Line],
+    backend: Backend,
+    request: Request,
+    limit_ns: int,
+    take: Callable[[int], bool] | None = None,
+) -> Tried:
+    """Never raises but for a cancel; the line is kept or ended. `take` finds room for its answer."""
     start = now_ns()
     yard.begin(backend.ident)
     line: Line | None = None
     try:
-        line = yard.take(start, backend.ident)
+        # Guards against a late answer to another request, which nothing tells from one that has no id.
+        line = yard.take(start, backend.ident) if request.ident is not None else None
+        first = line is None
         if line is None:
             wait_s = min(CONNECT_S, max(0.001, (limit_ns - start) / 1e9))
             line = await connect(backend.host, backend.port, wait_s)
@@ -102,12 +111,12 @@
         ]
         if request.body or request.method in BODIED:
             headers.append((b"content-length", str(len(request.body)).encode()))
-        reply = await line.ask(request.method, request.target, headers, request.body, ANSWER_MOST)
+        reply = await line.ask(request.method, request.target, headers, request.body, ANSWER_MOST, take)
         now = now_ns()
         load = load_of(reply)
         if load is not None:
             yard.told(now, backend.ident, *load)
-        found = judge(request.ident, backend.ident.encode(), reply.status, reply.get)
+        found = judge(request.ident, backend.ident.encode(), reply.status, reply.get, first)
         if found.keep:
             yard.keep(now, backend.ident, line, kept_s(reply))
         else:
--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -12,11 +12,12 @@
 
 import xxhash
 
-from meadowworks.attempts.again import ANSWERED, come_back_ns
+from meadowworks.attempts.again import ANSWERED, CANCELLED, UNRUN, come_back_ns
 from meadowworks.carriage.budget import Budget
 from meadowworks.carriage.choice import reach
 from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
-from meadowworks.carriage.room import Room
+from meadowworks.carriage.picture import Picture
+from meadowworks.carriage.room import Room, Share
 from meadowworks.carriage.yard import Yard
 from meadowworks.junction.forward import Request, Tried, attempt, back_headers, on_headers
 from meadowworks.junction.upstream import Upstream
@@ -28,24 +29,28 @@
 from meadowworks.telegraph import post
 from meadowworks.telegraph.members import Card, Members
 from meadowworks.telegraph.news import News, Told
-from meadowworks.timetable.routes import Route, Timetable
-from meadowworks.timetable.routes import load as load_table
+from meadowworks.timetable.routes import Route, Timetable, loading
 from meadowworks.track import logs
+from meadowworks.track.aside import Steps, aside, inflating
 from meadowworks.track.boot import Boot, load
 from meadowworks.track.door import Cut, Door, answer, whole_body
-from meadowworks.track.errors import BadSettings, NoAnswer
+from meadowworks.track.errors import BadSettings, BrokenInvariant, NoAnswer
 from meadowworks.track.line import Line, Reply
 from meadowworks.track.peer import Peer
 from meadowworks.track.program import Tasks, now_ns, run
 
 MS, SECOND = 1_000_000, 1_000_000_000
 PULL_MS, PULL_S = 1000, 1.6
+FIRST_S = 0.1  # that the first reply is waited for, and twice as long each time: who has power again is asked
+TABLE_MOST = 64 << 20  # bytes of a configuration
 POLLS_S = 2.3  # that connections may still come for after readyz says no: two polls a second apart
 TICK_S = 0.25  # the controllers' own turns come every half second
 BODY_S = 30.0  # that a body in parts may take, if its client names no time
-BODIES, CLIENTS = 0.25, 0.6  # parts: of memory that bodies may take, of descriptors that clients may
+BODIES, CLIENTS = 0.4, 0.6  # parts: of memory that bodies and answers may take, of descriptors for clients
 SUMMARY_S = 10.0  # between the log's lines of counters
-SETTLE_NS = 3 * SECOND  # that a first list is waited for until every service has a backend
+SETTLE_NS = 3 * SECOND  # that one who is sure is waited for, and then until every service has a backend
+HELD = 0.25  # part of a route's target that a request may be held without an offer to a backend
+STALE_NS = 300 * MS  # in which one who is sure may be found again
 log = logs.part("junction")
 
 
@@ -65,14 +70,18 @@
         self.budgets: dict[str, Budget] = {}
         self.yard: Yard[Line] = Yard()
         self.sums, self.own = Sums(), Sums()
-        self.sure_ns = 0  # when a signalbox that was sure first answered
+        self.picture = Picture()
+        self.born_ns = now_ns()
+        self.listed_ns = 0  # when the first list was taken as one to serve by
+        self.turn, self.hold_ms, self.wait_s = 0, PULL_MS, FIRST_S
         self.ready = self.leaving = False
         self.random = random.Random()
         self.counts: dict[str, int] = {}
+        self.prices: dict[str, dict[str, int]] = {}  # by route: what its operator pays for
         self.tasks = Tasks()
         self.room = Room(int(boot.mem_mb * 1e6 * BODIES))
         self.door = Door(self.app, most=int(boot.max_fds * CLIENTS))
-        self.polls, self.inner = Door(self.readyz), Door(self.asked)
+        self.polls, self.inner = Door(self.readyz), Door(self.asked, life=self.life)
 
     # -- what is known
 
@@ -108,13 +117,8 @@
         limits = self.door.state.limits
         limits.header_bytes, limits.header_s = table.header_bytes, table.header_ms / 1000
         limits.idle_s = table.idle_ms / 1000
-        targets: dict[str, float] = {}
-        for routes in table.hosts.values():
-            for route in routes.values():
-                for name, _ in route.split:
-                    targets[name] = max(targets.get(name, 0.0), route.target_ms)
         for name in table.services:
-            target_ns = int(targets.get(name, 1000.0) * MS) or SECOND
+            target_ns = int(table.targets.get(name, 1000.0) * MS) or SECOND
             if name in self.services:
                 self.services[name].aims(target_ns)
             else:
@@ -140,58 +144,84 @@
 
     def is_ready(self) -> bool:
         now = now_ns()
-        if self.leaving or self.table is None or not self.sure_ns:
+        if self.leaving or self.table is None or not self.listed_ns:
             return False
-        named = {name for routes in self.table.hosts.values() for r in routes.values() for name, _ in r.split}
-        served = all(self.services[name].lines for name in named)
-        return served or now - self.sure_ns > SETTLE_NS
+        served = all(self.services[name].lines for name in self.table.targets)
+        return served or now - self.listed_ns > SETTLE_NS
+
+    def settle(self, now: int) -> None:
+        """With nobody sure to be found the list that is there is served by, not spoken from."""
+        if not self.listed_ns and (self.picture.ever or now - self.born_ns > SETTLE_NS):
+            self.listed_ns = now
 
     # -- pulls
 
     def peer(self, host: str, port: int) -> Peer:
         return self.peers.setdefault((host, port), Peer(host, port))
 
-    async def pull(self) -> None:
-        turn, born = 0, now_ns()
+    async def pulls(self) -> None:
+        """Pulls for ever. A fault in one pull does not end the next: a junction that hears nothing any more
+        would go on serving by what it has."""
         while True:
-            now = now_ns()
-            seeds = self.members.lonely(self.boot.seeds, self.boot.inner)
-            at = self.upstream.choose(now, self.members.voters(), seeds)
-            if at is None:
-                await asyncio.sleep(0.2)
-                continue
-            cards = (self.members.me,) if turn % 5 == 0 else ()
-            sums, self.sums = self.sums, Sums()
-            pull = post.Pull(
-                self.members.me,
-                cards,
-                self.news.vector(),
-                self.table.version if self.table else 0,
-                PULL_MS,
-                sums.pack() if sums else None,
-            )
             try:
-                news = post.read_news(await self.peer(*at).call(b"/pull", pull.pack(), PULL_S))
-                table = load_table(news.table[1]) if news.table else None
-            except (NoAnswer, *post.SHAPE) as trouble:
-                log.info("no news from {}: {}", at[0], trouble)
-                self.sums.add(sums.pack())
-                self.upstream.failed(now_ns(), at[0])
-                await asyncio.sleep(0.1)
-                continue
-            turn, now = turn + 1, now_ns()
-            self.members.met(now, [news.me, *news.cards])
-            for piece in news.pieces:
-                self.news.take(now, piece)
-            if table is not None:
-                self.take_table(table)
-            self.relist()
-            if not news.sure:
-                # Guards against one that is cut off from the others and goes on telling what is old.
-                self.upstream.failed(now, at[0])
-                await asyncio.sleep(0.05)
-            if (news.sure or now - born > SETTLE_NS) and not self.sure_ns:
-                self.sure_ns = now
+                await self.pull()
+            except BrokenInvariant:
+                raise
+            except Exception:
+                log.exception("a pull failed")
+                self.hold_ms = 0
+                await asyncio.sleep(0.5)
+
+    async def pull(self) -> None:
+        """One question to one signalbox, and what its reply tells."""
+        now = now_ns()
+        seeds = self.members.lonely(self.boot.seeds, self.boot.inner)
+        at = self.upstream.choose(now, self.members.voters(), seeds)
+        if at is None:
+            await asyncio.sleep(0.2)
+            return
+        cards = (self.members.me,) if self.turn % 5 == 0 else ()
+        sums, self.sums = self.sums, Sums()
+        pull = post.Pull(
+            self.members.me,
+            cards,
+            self.news.vector(),
+            self.table.version if self.table else 0,
+            self.hold_ms,
+            sums.pack() if sums else None,
+        )
+        asked_ns = now_ns()
+        try:
+            news = post.read_news(await self.peer(*at).call(b"/pull", pull.pack(), self.wait_s))
+            table = await aside(self.unpacked(news.table[1])) if news.table else None
+        except (NoAnswer, *post.SHAPE) as trouble:
+            log.info("no news from {}: {}", at[0], trouble)
+            self.sums.add(sums.pack())
+            self.upstream.failed(now_ns(), at[0])
+            self.hold_ms = 0  # the picture has grown old: the next reply is wanted at once
+            self.wait_s = min(PULL_S, self.wait_s * 2)
+            await asyncio.sleep(0.1 if self.table else 0.02)
+            return
+        self.turn, self.wait_s, now = self.turn + 1, PULL_S, now_ns()
+        self.members.met(now, [news.me, *news.cards])
+        for piece in news.pieces:
+            self.news.take(now, piece)
+        if table is not None:
+            self.take_table(table)
+        self.relist()
+        if not news.sure:
+            # Guards against one that is cut off from the others and goes on telling what is old.
+            self.upstream.failed(now, at[0])
+            self.hold_ms = 0 if self.hold_ms else PULL_MS
+            await asyncio.sleep(0.05)
+        else:
+            self.hold_ms = PULL_MS
+        self.picture.told(asked_ns, news.sure)
+        self.settle(now)
+
+    def unpacked(self, packed: bytes) -> Steps[Timetable]:
+        body = yield from inflating(packed, TABLE_MOST)
+        return (yield from loading(body))
 
     # -- from time to time
 
@@ -202,6 +232,7 @@
         self.news.expire(now)
         self.lives.tick()
         self.relist()
+        self.settle(now)
         own, self.own = self.own, Sums()
         mine = self.boot.zones.index(self.boot.zone)
         if any(service.late(now, mine) for service in self.services.values()):
@@ -246,22 +277,40 @@
             return await answer(send, status, json.dumps({"err": f"the body is {body.value}"}).encode())
         target: bytes = scope["target"]
         route = table.find(host, target.partition(b"?")[0].decode("latin-1"))
-        if route is None and not self.sure_ns:
-            # Guards against a table from one that is cut off, which may lack a route that exists.
-            return await self.refused(send, Refuse(503, 300 * MS))
+        if route is None and not self.picture.fresh(now_ns()):
+            # Guards against a table of before a cut or a freeze, which may lack a route that exists.
+            return await self.refused(send, Refuse(503, STALE_NS))
         if route is None:
             return await answer(send, 404, b'{"err":"there is no such route"}')
         limit_ns = came + int(min(route.deadline_ms, milliseconds(deadline, route.deadline_ms)) * MS)
         request = Request(scope["method"].encode(), target, on_headers(scope["headers"]), body, ident)
         chance = xxhash.xxh32_intdigest(ident) / 2**32 if ident else self.random.random()
-        found = await self.travel(route, route.service(chance), request, limit_ns)
-        if isinstance(found, Refuse):
-            return await self.refused(send, found)
-        self.count(str(found.status))
-        await answer(send, found.status, found.body, back_headers(found))
-
-    async def travel(self, route: Route, name: str, request: Request, limit_ns: int) -> Reply | Refuse:
-        """The final answer of a request."""
+        caller = scope.get("caller")
+        if caller is not None and caller.lost:
+            return self.count("clients gone")
+        share = Share(self.room)
+        try:
+            if not share.take(len(body)):
+                return await self.refused(send, Refuse(503, SECOND))
+            found = await self.travel(route, route.service(chance), request, limit_ns, share, caller)
+            if caller is not None and caller.lost:
+                return self.count("clients gone")
+            if isinstance(found, Refuse):
+                return await self.refused(send, found)
+            self.count(str(found.status))
+            await answer(send, found.status, found.body, back_headers(found), table.idle_ms / 1000)
+        except TimeoutError:  # guards against one that takes nothing of its answer, which is held for it
+            self.price(route, "broken off midway")
+            if caller is not None:
+                caller.transport.abort()
+        finally:
+            share.give()
+
+    async def travel(
+        self, route: Route, name: str, request: Request, limit_ns: int, share: Share, caller: Any = None
+    ) -> Reply | Refuse:
+        """The final answer of a request, whose bytes are taken out of the share. `caller` is the connection
+        that it came on."""
         now = now_ns()
         service = self.services[name]
         budget = self.budgets.get(name)
@@ -279,47 +328,67 @@
             way(route.safe, limit_ns - now, int(target_ns)), policy(route.safe, route.tries, jammed), limit_ns
         )
         again = lambda: budget.take(now_ns())  # noqa: E731
+        offered = False  # to a backend, over a connection that was up
         tasks: dict[asyncio.Task[Tried], int] = {}
         replies: dict[int, Reply | None] = {}
+
+        def left() -> None:
+            if journey.left():
+                for task in tasks:
+                    task.cancel()
+                    self.price(route, "ended, its client gone")
+
         step: Step = journey.start(now, *self.seen(service, target_ns, now)[:2], self.random.random())
         try:
+            if caller is not None:
+                caller.at_loss = left
             while True:
                 if isinstance(step, Forward):
                     reply = replies[step.number]
                     assert reply is not None
                     return reply
                 if isinstance(step, Refuse):
+                    if tasks and not journey.gone:
+                        self.price(route, "broken off")
+                    elif not offered and now_ns() - now > target_ns * HELD:
+                        self.price(route, "held without an offer")
+                    if step.status != 503 and not offered and not tasks:
+                        self.price(route, f"{step.status} without an offer")
                     return step
                 if isinstance(step, Send):
                     backend = self.lives.known[service.places.names[step.place]]
-                    tasks[self.tasks.start(self.attempt(backend, request, limit_ns))] = step.number
+                    tasks[self.tasks.start(self.attempt(backend, request, limit_ns, share))] = step.number
                 until = journey.wait(now_ns()).until_ns
                 done, _ = await asyncio.wait(
                     tasks, timeout=max(0.0, (until - now_ns()) / 1e9), return_when=asyncio.FIRST_COMPLETED
                 )
-                now = now_ns()
-                lines, waits, free = self.seen(service, target_ns, now)
+                later = now_ns()
+                lines, waits, free = self.seen(service, target_ns, later)
                 if not done:
-                    step = journey.due(now, lines, waits, self.random.random(), again, free)
+                    step = journey.due(later, lines, waits, self.random.random(), again, free)
                     continue
                 for task in done:
-                    number, tried = tasks.pop(task), task.result()
+                    number = tasks.pop(task)
+                    tried = Tried(CANCELLED, None, 0) if task.cancelled() else task.result()
                     replies[number] = tried.reply
+                    offered = offered or tried.state != UNRUN or tried.reply is not None
                     step = journey.ended(
-                        now, number, tried.state, tried.status, lines, waits, self.random.random(), again
+                        later, number, tried.state, tried.status, lines, waits, self.random.random(), again
                     )
                     if isinstance(step, Forward):
                         break
         finally:
-            if now_ns() >= limit_ns:
-                for task in tasks:
-                    task.cancel()
+            if caller is not None:
+                caller.at_loss = None
+            # Guards against tries that nobody waits for, at backends that never answer.
+            for task in tasks:
+                self.tasks.bound(task, (limit_ns - now_ns()) / 1e9, share.give)
 
-    async def attempt(self, backend: Backend, request: Request, limit_ns: int) -> Tried:
+    async def attempt(self, backend: Backend, request: Request, limit_ns: int, share: Share) -> Tried:
         busy = self.yard.busy(now_ns(), backend.ident, backend.zone == self.boot.zone)
         if backend.zone != self.boot.zone:
             self.count("tries abroad")
-        tried = await attempt(self.yard, backend, request, limit_ns)
+        tried = await attempt(self.yard, backend, request, limit_ns, share.take)
         good = tried.state == ANSWERED
         for sums in (self.sums, self.own):
             sums.tried(backend.ident, good, tried.spent_ns / MS)
@@ -364,6 +433,10 @@
         lines, waits, free = reach(own, abroad, busy, needs, target_ns, service.size)
         return (lines, waits, free) if lines else (kept, {}, False)
 
+    def price(self, route: Route, what: str) -> None:
+        prices = self.prices.setdefault(route.name, {})
+        prices[what] = prices.get(what, 0) + 1
+
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
@@ -389,8 +462,10 @@
         return {
             "node": self.boot.node,
             "ready": self.is_ready(),
+            "fresh": self.picture.fresh(now_ns()),
             "version": f"{self.table.version if self.table else 0:08x}",
             "answers": self.counts,
+            "prices": self.prices,
             "services": {
                 name: {
                     **s.why(now_ns()),
@@ -414,7 +489,7 @@
         await self.polls.open(*self.boot.bind["readyz"])
         await self.door.open(*self.boot.bind["http"])
         log.info("{} serves", self.boot.node)
-        self.tasks.start(self.pull())
+        self.tasks.start(self.pulls())
         self.tasks.start(self.tasks.every(1.0, self.second))
         self.tasks.start(self.tasks.every(TICK_S, self.half))
         self.tasks.start(self.tasks.every(SUMMARY_S, self.summary))
@@ -435,6 +510,7 @@
         self.door.shut()
         while self.door.at_work() and loop.time() - start < self.boot.bounds.grace_s - 0.3:
             await asyncio.sleep(0.02)
+        self.door.end()
         await asyncio.sleep(0.02)
 
 
