--- a/meadowworks/lab/control.py
+++ b/meadowworks/lab/control.py
@@ -155,6 +155,10 @@
             self.fault("acked_then_lost", f"{version} acknowledged at {held.version}")
         if version > self.newest(self.day.time.now):
             self.acked.append((self.day.time.now, version))
+            for other in self.day.boxes.values():
+                if other.up and self.day.chance.random() < 0.2:
+                    soon = self.day.chance.randrange(4 * MS)
+                    self.day.time.after(soon, partial(other.do, other.life, other.read))
 
     def refused(self, version: int, content: bytes, box: Box) -> None:
         others = {digest(c) for c in self.chosen[version]} | {
@@ -205,9 +209,13 @@
     def __init__(self, day: Day, address: str, voting: bool = True) -> None:
         self.day, self.address, self.voting = day, address, voting
         self.medium = Medium(day.chance)
-        self.up = self.frozen = self.leaving = self.removed = self.handed = False
+        self.up: bool = False
+        self.frozen = self.leaving = self.removed = self.handed = False
         self.post = -1
-        self.life = self.count = 0
+        self.slow = False  # its disk
+        self.dark = 0  # looks at which it had no lease, in a row
+        self.life: int = 0
+        self.count = 0
         self.offset = day.chance.randrange(1, 10**6) * SECOND
         self.replica: Any = None
         self.disk: Any = None
@@ -322,7 +330,8 @@
                     case Write():
                         self.writing = effect
                         chance = self.day.chance
-                        wait = chance.uniform(1, 6) if chance.random() < 0.98 else chance.uniform(20, 250)
+                        slow = self.slow or chance.random() < 0.02
+                        wait = chance.uniform(20, 250) if slow else chance.uniform(1, 6)
                         time.after(int(wait * MS), partial(self.do, self.life, partial(self.save, effect)))
                     case Ask(question, address, request):
                         self.send(question, address, request)
@@ -457,7 +466,7 @@
         if not target.up:
             again(300 * MS)
             return
-        time.after(CALL_NS, partial(again, 10 * MS))
+        time.after(CALL_NS, partial(self.do, life, partial(again, 10 * MS)))
         network.send(self.address, address, arrive)
 
     # -- callers
@@ -508,7 +517,15 @@
 class Order:
     """A change that an operator carries to any signalbox until it is acknowledged or refused."""
 
-    def __init__(self, day: Day, version: int, content: bytes, loss: float, wide: bool = False) -> None:
+    def __init__(
+        self,
+        day: Day,
+        version: int,
+        content: bytes,
+        loss: float,
+        wide: bool = False,
+        first: Box | None = None,
+    ) -> None:
         self.day, self.version, self.content, self.loss = day, version, content, loss
         self.born = day.time.now
         self.done: int | None = None
@@ -517,7 +534,7 @@
         day.truth.counts.orders += 1
         day.highest = max(day.highest, version)
         for _ in range(2 if wide else 1):
-            self.attempt()
+            self.attempt(first)
 
     def confirmed(self) -> None:
         """A signalbox has acknowledged it, whether or not the operator hears it."""
@@ -530,12 +547,12 @@
     def over(self) -> bool:
         return self.done is not None or self.refused
 
-    def attempt(self) -> None:
+    def attempt(self, first: Box | None = None) -> None:
         day = self.day
         if self.over() or day.time.now - self.born > PATIENCE_NS:
             return
         boxes = [b for b in day.boxes.values() if not b.removed and b.voting]
-        box = day.chance.choice(boxes)
+        box = first or day.chance.choice(boxes)
         waiting = [True]
 
         def again() -> None:
@@ -653,7 +670,14 @@
         if box.up:
             box.do(box.life, box.read)
 
-    def busy(self, start: int, end: int, orders_ms: tuple[int, int], act: Callable[[], None]) -> None:
+    def busy(
+        self,
+        start: int,
+        end: int,
+        orders_ms: tuple[int, int],
+        act: Callable[[], None],
+        reads_ms: tuple[int, int] = (50, 400),
+    ) -> None:
         """Orders and reads between two times."""
 
         def some(what: Callable[[], None], low: int, high: int) -> None:
@@ -662,13 +686,25 @@
                 self.time.after(self.chance.randrange(low, high) * MS, partial(some, what, low, high))
 
         self.time.at(start, partial(some, act, *orders_ms))
-        self.time.at(start, partial(some, self.read_now, 50, 400))
+        self.time.at(start, partial(some, self.read_now, *reads_ms))
         self.time.at(start, partial(some, self.glance, 30, 60))
 
     def glance(self) -> None:
+        calm = self.calm()
         for box in self.boxes.values():
-            if box.up and not box.frozen and box.replica is not None:
-                self.truth.look(box)
+            if not box.up or box.frozen:
+                continue
+            self.truth.look(box)
+            box.dark = box.dark + 1 if calm and not box.replica.sure(box.clock()) else 0
+            if box.dark == 30:
+                self.truth.fault("never_level", f"{box.address} has no lease for a second of calm")
+
+    def calm(self) -> bool:
+        """No fault, and none of the last seconds."""
+        now = self.time.now
+        return not (
+            self.disturbed or self.network.cuts or self.troubled + 2 * SYNC_NS > now or max(self.lost) > now
+        )
 
     # -- faults
 
--- a/meadowworks/lab/drill.py
+++ b/meadowworks/lab/drill.py
@@ -40,26 +40,77 @@
     chance = day.chance
 
     def some() -> None:
+        if chance.random() < 0.25:
+            return one_life_after_another(day)
         day.order_now(chance.choice([0.1, 0.4, 0.8]), chance.choice([0, 1, 1, 2, 3]))
         if chance.random() < 0.5:
             day.time.after(chance.randrange(20, 3000) * MS, day.resend)
-        fate = chance.random()
+        fate, soon = chance.random(), chance.choice([chance.randrange(3, 25), chance.randrange(5, 400)])
         if fate < 0.25:
-            day.time.after(chance.randrange(5, 400) * MS, partial(all_stop, day, True))
+            day.time.after(soon * MS, partial(all_stop, day, True))
         elif fate < 0.35:
-            day.time.after(chance.randrange(5, 400) * MS, partial(all_stop, day, False))
+            day.time.after(soon * MS, partial(all_stop, day, False))
         elif fate < 0.7:
             day.time.after(chance.randrange(2, 400) * MS, partial(one_stops, day))
 
-    day.busy(3 * SECOND, 28 * SECOND, (300, 3000), some)
+    reads = chance.choice([(50, 400), (2000, 8000)])
+    day.busy(3 * SECOND, 28 * SECOND, (300, 3000), some, reads)
     day.time.run(30 * SECOND)
 
 
+def one_life_after_another(day: Day) -> None:
+    """A signalbox with a slow disk takes one order, loses power, takes another under the same number, and is
+    gone for a while; some of its links are cut now and then."""
+    chance = day.chance
+    boxes = [b for b in day.voters() if b.up]
+    if len(boxes) < 2 * day.tolerate + 1:
+        return
+    box, *others = chance.sample(boxes, len(boxes))
+    near, far = others[: day.tolerate], others[day.tolerate :]
+    version = day.highest + 1
+    day.highest = version
+
+    def cut(some: list[Box], rest: list[Box]) -> None:
+        day.trouble()
+        for one in some:
+            for other in rest:
+                if one is not other:
+                    day.network.cut(one.address, other.address)
+
+    def ends() -> None:
+        day.kill(box, True)
+        box.slow = False
+        day.network.join()
+        if chance.random() < 0.7:
+            cut(near, list(day.boxes.values()))
+            cut(list(day.boxes.values()), near)
+
+    def send(name: str) -> None:
+        day.orders.append(Order(day, version, f"{version}-{name}".encode(), 0.2, first=box))
+
+    box.slow = True
+    steps: list[tuple[int, Callable[[], None]]] = [
+        (1, partial(send, "x")),
+        (chance.randrange(2, 10), partial(cut, [box], far)),
+        (chance.randrange(2, 20), ends),
+        (chance.randrange(50, 150), partial(come_back, day, box)),
+        (chance.randrange(520, 900), partial(send, "y")),
+        (chance.randrange(8, 100), partial(day.kill, box, True)),
+        (1, day.heal),
+        (chance.randrange(500, 3000), partial(come_back, day, box)),
+    ]
+    at = 0
+    for wait, act in steps:
+        at += wait * MS
+        day.time.after(at, act)
+
+
 def all_stop(day: Day, power: bool) -> None:
     """All processes are killed, or lose power, at once or within some ms, with their disks."""
+    spread = day.chance.choice([0, 0, 30])
     for box in list(day.boxes.values()):
         if not box.removed and box.up:
-            at = day.chance.choice([0, day.chance.randrange(30 * MS)])
+            at = day.chance.randrange(spread * MS + 1)
             day.time.after(at, partial(day.kill, box, power))
             day.time.after(at + SECOND // 5 + day.chance.randrange(SECOND), partial(come_back, day, box))
 
@@ -113,12 +164,36 @@
         day.kill(day.posts[post], True)  # for good: the others are to go on without it
 
 
+def eve(day: Day, box: Box) -> None:
+    """An order that reaches some only, ms before the machine that took it is gone; a rival comes after it."""
+    chance = day.chance
+    if not box.up or chance.random() < 0.4:
+        return
+    others = [b for b in day.voters() if b is not box and b.up]
+    version = day.highest + 1
+    day.highest = version
+    for other in others[: day.tolerate]:
+        day.network.slow[box.address, other.address] = chance.randrange(10, 300) * MS
+    day.orders.append(Order(day, version, b"%d-eve" % version, 0.1, first=box))
+    if others:
+        def rival() -> None:
+            day.orders.append(Order(day, version, b"%d-rival" % version, 0.1, first=others[0]))
+
+        day.time.after(chance.randrange(5, 1500) * MS, rival)
+
+
 def sudden(day: Day, post: int) -> None:
     """A machine is gone for good, its successor starts elsewhere."""
     day.lost[post] = NEVER
     box = day.posts[post]
-    day.kill(box, True)
-    box.removed = True
+    eve(day, box)
+
+    def gone() -> None:
+        day.kill(box, True)
+        box.removed = True
+        day.network.slow.clear()
+
+    day.time.after(day.chance.randrange(4, 30) * MS, gone)
     day.time.after(day.chance.randrange(100, 3000) * MS, partial(successor, day, post))
 
 
@@ -132,14 +207,19 @@
     """A machine comes back at its address with an empty disk."""
     day.lost[post] = NEVER
     box = day.posts[post]
-    day.kill(box, day.chance.random() < 0.5)
+    eve(day, box)
+
+    def gone() -> None:
+        day.kill(box, day.chance.random() < 0.5)
+        day.network.slow.clear()
 
     def back() -> None:
         box.wipe()
         day.restart(box)
         day.there(post)
 
-    day.time.after(day.chance.randrange(50, 3000) * MS, back)
+    day.time.after(day.chance.randrange(4, 30) * MS, gone)
+    day.time.after(day.chance.choice([50, 200, day.chance.randrange(50, 3000)]) * MS, back)
 
 
 def planned(day: Day, post: int) -> None:
--- a/meadowworks/lab/network.py
+++ b/meadowworks/lab/network.py
@@ -41,6 +41,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.held: dict[tuple[str, str], list[tuple[int, Act]]] = defaultdict(list)
         self.contact: dict[tuple[str, str], int] = {}
+        self.slow: dict[tuple[str, str], int] = {}  # what links take besides
         self.lose = self.double = self.late = 0.0
 
     def send(self, source: str, target: str, arrive: Act) -> None:
@@ -51,7 +52,7 @@
             self.carry(source, target, self.time.now, arrive)
 
     def carry(self, source: str, target: str, sent: int, arrive: Act) -> None:
-        wait = int(self.chance.uniform(0.2, 3) * MS)
+        wait = int(self.chance.uniform(0.2, 3) * MS) + self.slow.get((source, target), 0)
         if self.chance.random() < self.late:
             wait += int(self.chance.uniform(5, 1500) * MS)
 
