A start without loguru's first sink, and a junction without the register's letters

Cause: loguru asks for the folders of all install schemes at each sink (36 look-ups, 8 to 16 ms of processor time), at its own first sink at import and at ours; telegraph/post imports the register for its types, 20 to 30 ms in a junction, which speaks no letters. Change: LOGURU_AUTOINIT off, no search for folders; the register is imported where a pull tells of members.

--- a/meadowworks/telegraph/post.py
+++ b/meadowworks/telegraph/post.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgpack
 
 from meadowworks.telegraph.members import Card
 from meadowworks.telegraph.news import Piece
-from meadowworks.timetable import register
-from meadowworks.timetable.register import Epoch, History, Seen
+
+if TYPE_CHECKING:  # a junction speaks no letters: their import would be a tenth of its start
+    from meadowworks.timetable.register import Epoch, History, Seen
 
 SHAPE = (TypeError, ValueError, AttributeError, LookupError)  # what reading a message of another shape raises
 
@@ -68,12 +69,21 @@
                 [piece.pack() for piece in self.pieces],
                 self.sure,
                 table,
-                None if self.seen is None else register.pack(self.seen),
-                None if self.epoch is None else register.pack_epoch(self.epoch),
-                [list(one) for one in self.history],
+                *self.pack_members(),
             ]
         )
 
+    def pack_members(self) -> list[Any]:
+        if self.seen is None and self.epoch is None:
+            return [None, None, []]
+        from meadowworks.timetable import register
+
+        return [
+            None if self.seen is None else register.pack(self.seen),
+            None if self.epoch is None else register.pack_epoch(self.epoch),
+            [list(one) for one in self.history],
+        ]
+
 
 def pack(what: Any) -> bytes:
     return msgpack.packb(what, use_bin_type=True)  # type: ignore[no-any-return]
@@ -87,12 +97,16 @@
         raise Garbled(f"no msgpack: {trouble}") from None
 
 
-def read_seen(raw: Any) -> Seen:
+def read_members(seen: Any, epoch: Any, history: Any) -> tuple[Seen | None, Epoch | None, History]:
     """Raises ValueError, TypeError or KeyError."""
-    found = register.unpack(raw)
-    if not isinstance(found, Seen):
+    if seen is None and epoch is None and history == []:
+        return None, None, ()
+    from meadowworks.timetable import register
+
+    found = None if seen is None else register.unpack(seen)
+    if not (found is None or isinstance(found, register.Seen)):
         raise ValueError("not what a disk says of itself")
-    return found
+    return found, None if epoch is None else register.unpack_epoch(epoch), register.history(history)
 
 
 def read_pull(body: bytes) -> Pull:
@@ -125,9 +139,7 @@
             tuple(map(Piece.unpack, pieces)),
             bool(sure),
             held,
-            None if seen is None else read_seen(seen),
-            None if epoch is None else register.unpack_epoch(epoch),
-            register.history(history),
+            *read_members(seen, epoch, history),
         )
     except SHAPE as trouble:
         raise Garbled(f"no news: {trouble}") from None
--- a/meadowworks/track/lean.py
+++ b/meadowworks/track/lean.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import re
 import sys
 from types import ModuleType
@@ -52,6 +53,16 @@
             for one in taken:
                 setattr(module, one, None)
     patterns()
+    sinks()
+
+
+def sinks() -> None:
+    """Imports loguru without a sink of its own (`logs.start` adds ours), and without a search for the folders
+    of libraries at each sink: it is for colours in a traceback."""
+    os.environ.setdefault("LOGURU_AUTOINIT", "False")
+    from loguru._better_exceptions import ExceptionFormatter
+
+    ExceptionFormatter._get_lib_dirs = staticmethod(list)  # type: ignore[method-assign]
 
 
 def patterns() -> None:
