--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -9,6 +9,7 @@
 import sqlite3
 import tempfile
 import time
+from functools import partial
 from typing import Any
 from uuid import uuid4
 
@@ -18,7 +19,9 @@
 from meadowworks.points.figures import Sums
 from meadowworks.roster.beats import PREFIX as BACKENDS
 from meadowworks.roster.beats import Beats
+from meadowworks.roster.fences import Fences
 from meadowworks.roster.lives import Lives
+from meadowworks.signalbox.fencing import Fencing, read
 from meadowworks.signalbox.office import Office
 from meadowworks.signalbox.resources import Backends, Config, routes
 from meadowworks.telegraph import post
@@ -35,6 +38,8 @@
 
 PULL_MS, PULL_S = 500, 1.5  # that a pull may be held back, and is waited for
 HELD_BACK_MS = 1000  # at most, whatever a puller asks for
+OWED_MS = 50  # that one is held back while a receipt is owed: it goes with the next
+SYNC_S = 0.1  # that a receipt is waited for before the next pull goes without it
 BATCH_S = 0.15  # that news of backends gather in before a junction is told: each telling costs every junction
 SUMMARY_TURNS = 10  # seconds between the log's lines of counters
 BODY_MOST = 64 << 20
@@ -54,7 +59,10 @@
         self.news.listeners.append(self.told)
         self.lives = Lives(lambda name: self.news.quiet(now_ns(), name), now_ns)
         self.news.listeners.append(self.lives.told)
-        self.beats = Beats(self.news.say, boot.heartbeat_ms)
+        self.fences = Fences(self.life)
+        self.news.listeners.append(lambda event: self.fences.told(now_ns(), event))
+        self.news.reached.append(self.fences.reached)
+        self.beats = Beats(self.news.say, boot.heartbeat_ms, self.fences.state, self.known)
         self.peers: dict[tuple[str, int], Peer] = {}
         self.pulling: set[tuple[str, int]] = set()
         self.waiting: set[asyncio.Future[None]] = set()
@@ -66,8 +74,11 @@
         self.tasks = Tasks()
         self.office = Office(boot, Disk(folder), self.peer, self.learnt, self.tasks)
         self.kept = self.office.disk.lives()
-        self.beats.restore(now_ns(), {ident: post.unpack(value) for ident, value in self.kept.items()})
-        self.backends = Backends(self.beats, self.news, self.members, boot.tolerate, self.near)
+        self.fencing = Fencing(self.fences, self.office.disk, self.office.thread, self.tasks.start)
+        fenced = read(self.office.disk.fences())
+        self.fences.restore(now_ns(), fenced)
+        self.beats.restore(now_ns(), fenced | read(self.kept))
+        self.backends = Backends(self.beats, self.fencing, self.held_by_enough, self.near, self.sure)
         self.routes = routes(self.backends, Config(self.office))
         self.inner_door = Door(self.inner, Limits(65536, 3.0, 30.0), life=self.life)
         self.room = Room(int(boot.mem_mb * 1e6 * BODIES))
@@ -78,13 +89,23 @@
     def peer(self, host: str, port: int) -> Peer:
         return self.peers.setdefault((host, port), Peer(host, port))
 
-    def near(self, ident: str) -> str | None:
-        """The ctl address of a signalbox in a backend's zone, if this one is of another; ports are alike."""
+    def known(self, ident: str) -> bool:
+        """Whether anyone has spoken of a backend."""
+        return self.lives.heard_of(ident) or ident in self.fences.fences
+
+    def held_by_enough(self, version: int) -> bool:
+        """Of the epoch's members: whoever else may vote may be gone for good tomorrow."""
+        members = self.office.replica.acceptor.newest().members
+        hosts = {address.rpartition(":")[0] for _, address in members} - {self.boot.ip}
+        return self.fences.kept(version, hosts, self.boot.tolerate, self.boot.voting)
+
+    def near(self, ident: str) -> list[str]:
+        """Ctl addresses of signalboxes in a backend's zone, if this one is of another; ports are alike."""
         life = self.beats.lives.get(ident)
         if life is None or life.zone == self.boot.zone:
-            return None
+            return []
         hosts = [c.host for c in self.members.voters(now_ns()) if c.zone == life.zone]
-        return f"{hosts[0]}:{self.boot.bind['ctl'][1]}" if hosts else None
+        return [f"{host}:{self.boot.bind['ctl'][1]}" for host in hosts]
 
     # -- what wakes a pull
 
@@ -126,9 +147,7 @@
     async def pulled(self, pull: post.Pull) -> bytes:
         now = now_ns()
         self.members.met(now, [pull.me, *pull.cards])
-        self.news.asked(pull.me.host, pull.vector)
-        if pull.me.voting:
-            self.backends.heard()
+        self.receipt(pull)
         if pull.figures:
             self.sums.setdefault(pull.me.zone, Sums()).add(pull.figures)
         end = asyncio.get_running_loop().time() + min(pull.wait_ms, HELD_BACK_MS) / 1000
@@ -182,6 +201,14 @@
         tell each other at once; to a junction nothing is handed out without a lease: it may be old."""
         return self.held.version > pull.table and (pull.epoch is not None or self.sure())
 
+    def receipt(self, pull: post.Pull) -> None:
+        """What another disk has of the own drains. A card older than what is known of its host is its last
+        life's, whose receipts say nothing of the disk that is there now."""
+        known = self.members.view.get(pull.me.host)
+        if pull.kept is not None and pull.me.voting and known is not None and known.card.life == pull.me.life:
+            self.fences.receipted(pull.me.host, *pull.kept)
+            self.fencing.moved()
+
     def urgent(self, pieces: list[Piece], pull: post.Pull) -> bool:
         return (
             self.leaving
@@ -198,7 +225,7 @@
 
     async def pull(self, host: str, port: int) -> None:
         """Pulls from one signalbox until it is no longer known."""
-        peer, turn = self.peer(host, port), 0
+        peer, turn, source = self.peer(host, port), 0, ""
         try:
             while any(c.host == host for c in self.members.voters()) or self.is_seed(host):
                 cards = tuple(self.members.swap()[1:]) if turn % 5 == 0 else ()
@@ -207,8 +234,9 @@
                     cards or (self.members.me,) if turn % 5 == 0 else (),
                     self.news.vector(),
                     self.held.version,
-                    PULL_MS,
+                    PULL_MS if self.fences.level(source) else OWED_MS,
                     epoch=self.office.replica.acceptor.newest().number,
+                    kept=self.fences.receipt(source),
                 )
                 asked = now_ns()
                 try:
@@ -224,7 +252,9 @@
                 self.members.met(now, [news.me, *news.cards])
                 for piece in news.pieces:
                     self.news.take(now, piece)
-                replica = self.office.replica
+                source = news.me.life
+                await self.fencing.until(partial(self.fences.level, source), SYNC_S)
+                replica, now = self.office.replica, now_ns()
                 if news.epoch is not None:
                     replica.told(now, news.epoch)
                 if news.table is not None:
@@ -264,6 +294,8 @@
         self.news.expire(now)
         self.beats.tick(now)
         self.lives.tick()
+        self.fences.tick(now, self.lives.fenced, self.news.sources)
+        self.fencing.wake()
         self.lives.changed.clear()
         self.pulse += 1
         if self.pulse % SUMMARY_TURNS == 0:
--- a/meadowworks/telegraph/post.py
+++ b/meadowworks/telegraph/post.py
@@ -28,7 +28,9 @@
 class Pull:
     """`table` is the version of the configuration that is held; `figures` what the asker has counted since
     its last pull; `wait_ms` how long the answer may be held back for want of urgent news; `epoch` the number
-    of the newest epoch of members that a signalbox knows, none from a junction."""
+    of the newest epoch of members that a signalbox knows, none from a junction; `kept` a receipt: a process
+    of the asked box, and the version of its news up to which all drains and leaves are on the asker's disk.
+    The vector is none: it tells what is in memory."""
 
     me: Card
     cards: tuple[Card, ...]
@@ -37,10 +39,14 @@
     wait_ms: int
     figures: Any = None
     epoch: int | None = None
+    kept: tuple[str, int] | None = None
 
     def pack(self) -> bytes:
         cards = [card.pack() for card in self.cards]
-        return pack([self.me.pack(), cards, self.vector, self.table, self.wait_ms, self.figures, self.epoch])
+        kept = None if self.kept is None else [*self.kept]
+        return pack(
+            [self.me.pack(), cards, self.vector, self.table, self.wait_ms, self.figures, self.epoch, kept]
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +118,7 @@
 def read_pull(body: bytes) -> Pull:
     """Raises Garbled."""
     try:
-        me, cards, vector, table, wait, figures, epoch = unpack(body)
+        me, cards, vector, table, wait, figures, epoch, kept = unpack(body)
         return Pull(
             Card.unpack(me),
             tuple(map(Card.unpack, cards)),
@@ -121,6 +127,7 @@
             int(wait),
             figures,
             None if epoch is None else int(epoch),
+            None if kept is None else (str(kept[0]), int(kept[1])),
         )
     except SHAPE as trouble:
         raise Garbled(f"no pull: {trouble}") from None
