--- a/meadowworks/signalbox/resources.py
+++ b/meadowworks/signalbox/resources.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
