--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -238,7 +238,7 @@
                     epoch=self.office.replica.acceptor.newest().number,
                     kept=self.fences.receipt(source),
                 )
-                asked = now_ns()
+                asked, sure = now_ns(), self.sure()
                 try:
                     news = post.read_news(await peer.call(b"/pull", pull.pack(), PULL_S))
                     version, packed = news.table or (0, b"")
@@ -262,6 +262,8 @@
                 if news.seen is not None:
                     replica.met(now, asked, news.seen)
                 self.office.pump()
+                if self.sure() and not sure:
+                    self.ring()  # whoever waits for a table may have it now
         finally:
             self.pulling.discard((host, port))
 
