--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -13,6 +13,7 @@
 from typing import Any
 from uuid import uuid4
 
+from meadowworks.carriage.room import Room
 from meadowworks.depot.disk import Disk
 from meadowworks.points.figures import PREFIX as FIGURES
 from meadowworks.points.figures import Sums
@@ -21,26 +22,30 @@
 from meadowworks.roster.fences import Fences
 from meadowworks.roster.lives import Lives
 from meadowworks.signalbox.fencing import Fencing, read
-from meadowworks.signalbox.office import Office, read_letter, write_letter
+from meadowworks.signalbox.office import Office
 from meadowworks.signalbox.resources import Backends, Config, routes
 from meadowworks.telegraph import post
 from meadowworks.telegraph.members import Card, Members
 from meadowworks.telegraph.news import News, Piece, Told
 from meadowworks.timetable.register import Held
 from meadowworks.track import logs
+from meadowworks.track.aside import aside, deflating, inflating
 from meadowworks.track.boot import Boot, load
 from meadowworks.track.door import Cut, Door, Limits, answer, whole_body
 from meadowworks.track.errors import BadSettings, NoAnswer
 from meadowworks.track.peer import Peer
 from meadowworks.track.program import Tasks, now_ns, run
 
-PULL_MS, PULL_S = 1000, 2.0  # that a pull may be held back, and is waited for
+PULL_MS, PULL_S = 500, 1.5  # that a pull may be held back, and is waited for
+HELD_BACK_MS = 1000  # at most, whatever a puller asks for
 OWED_MS = 50  # that one is held back while a receipt is owed: it goes with the next
 SYNC_S = 0.1  # that a receipt is waited for before the next pull goes without it
 BATCH_S = 0.15  # that news of backends gather in before a junction is told: each telling costs every junction
-TOUCH_NS = 2_500_000_000  # a voter that answered a pull within this is in touch
 SUMMARY_TURNS = 10  # seconds between the log's lines of counters
 BODY_MOST = 64 << 20
+BODY_S = 300.0  # that an operator's body may take: 7 MB over a line of 200 kbit/s; a part is waited for 30 s
+BODIES = 0.25  # part of the memory that such bodies may take while they come
+OWN_PART = 0.1  # of it that one may have: its check takes four times its size beside it
 log = logs.part("box")
 
 
@@ -60,30 +65,25 @@
         self.beats = Beats(self.news.say, boot.heartbeat_ms, self.fences.state, self.known)
         self.peers: dict[tuple[str, int], Peer] = {}
         self.pulling: set[tuple[str, int]] = set()
-        self.touched_ns: dict[str, int] = {}
         self.waiting: set[asyncio.Future[None]] = set()
         self.sums: dict[str, Sums] = {}
         self.summed_ns = now_ns()
         self.pulse = 0
         self.leaving = False
         folder = boot.datadir or tempfile.mkdtemp(prefix="meadowworks-")
-        self.office = Office(
-            Disk(folder),
-            boot.bootstrap or not boot.voting,
-            boot.tolerate,
-            self.members,
-            self.peer,
-            self.learnt,
-        )
-        self.kept = self.office.disk.lives()
         self.tasks = Tasks()
+        self.office = Office(boot, Disk(folder), self.peer, self.learnt, self.tasks)
+        self.kept = self.office.disk.lives()
         self.fencing = Fencing(self.fences, self.office.disk, self.office.thread, self.tasks.start)
         fenced = read(self.office.disk.fences())
         self.fences.restore(now_ns(), fenced)
         self.beats.restore(now_ns(), fenced | read(self.kept))
         self.backends = Backends(self.beats, self.fencing, self.held_by_enough, self.near, self.sure)
         self.routes = routes(self.backends, Config(self.office))
-        self.inner_door = Door(self.inner, Limits(65536, 3.0, 30.0))
+        self.inner_door = Door(self.inner, Limits(65536, 3.0, 30.0), life=self.life)
+        self.room = Room(int(boot.mem_mb * 1e6 * BODIES))
+        self.packed: tuple[int, bytes] = (0, b"")  # the version held and its configuration, compressed
+        self.packing: tuple[int, asyncio.Task[bytes]] | None = None
         self.ctl_door = Door(self.ctl, Limits(65536, 3.0, 30.0))
 
     def peer(self, host: str, port: int) -> Peer:
@@ -94,7 +94,9 @@
         return self.lives.heard_of(ident) or ident in self.fences.fences
 
     def held_by_enough(self, version: int) -> bool:
-        hosts = {card.host for card in self.members.voters()}
+        """Of the epoch's members: whoever else may vote may be gone for good tomorrow."""
+        members = self.office.replica.acceptor.newest().members
+        hosts = {address.rpartition(":")[0] for _, address in members} - {self.boot.ip}
         return self.fences.kept(version, hosts, self.boot.tolerate, self.boot.voting)
 
     def near(self, ident: str) -> list[str]:
@@ -131,8 +133,7 @@
                 case "/pull":
                     return await answer(send, 200, await self.pulled(post.read_pull(body)), [])
                 case "/letter":
-                    reply = await self.office.answer(read_letter(body))  # type: ignore[arg-type]
-                    return await answer(send, 200, write_letter(reply), [])
+                    return await answer(send, 200, await self.office.asked(body), [])
                 case "/status":
                     return await answer(send, 200, json.dumps(self.status()).encode())
         except post.SHAPE as trouble:
@@ -149,7 +150,7 @@
         self.receipt(pull)
         if pull.figures:
             self.sums.setdefault(pull.me.zone, Sums()).add(pull.figures)
-        end = asyncio.get_running_loop().time() + min(pull.wait_ms, PULL_MS) / 1000
+        end = asyncio.get_running_loop().time() + min(pull.wait_ms, HELD_BACK_MS) / 1000
         pieces = self.news.lacks(pull.vector, pull.me.life)
         while not self.urgent(pieces, pull):
             if (left := end - asyncio.get_running_loop().time()) <= 0:
@@ -158,16 +159,47 @@
             self.waiting.add(waiting)
             await asyncio.wait([waiting], timeout=left)
             self.waiting.discard(waiting)
-            if not pull.me.voting and self.office.box.held.version <= pull.table and not self.leaving:
+            if not pull.me.voting and self.held.version <= pull.table and not self.leaving:
                 await asyncio.sleep(min(BATCH_S, max(0.0, end - asyncio.get_running_loop().time())))
             pieces = self.news.lacks(pull.vector, pull.me.life)
-        held = self.office.box.held
-        table = (held.version, held.content) if held.version > pull.table else None
+        while self.lacks(pull) and self.packed[0] != self.held.version:
+            await self.pack()
+        sure, acceptor = self.sure(), self.office.replica.acceptor
+        table = self.packed if self.lacks(pull) else None
         cards = tuple(self.members.swap()[1:]) if pull.cards else ()
         known = self.members.view.get(pull.me.host)
         if known is not None and known.card.beat > pull.me.beat:
             cards = (*cards, known.card)  # its last life's: it will raise its own above that
-        return post.News(self.members.me, cards, tuple(pieces), self.sure(), table).pack()
+        if pull.epoch is None:
+            return post.News(self.members.me, cards, tuple(pieces), sure, table).pack()
+        newer = acceptor.installed and acceptor.epoch.number > pull.epoch
+        return post.News(
+            self.members.me,
+            cards,
+            tuple(pieces),
+            sure,
+            table,
+            acceptor.seen(),
+            acceptor.epoch if newer else None,
+            acceptor.past() if table else (),
+        ).pack()
+
+    async def pack(self) -> None:
+        """Compresses the configuration held, once for all who lack it."""
+        held = self.held
+        if self.packing is None or self.packing[0] != held.version:
+            self.packing = held.version, self.tasks.start(aside(deflating(held.content)))
+        version, task = self.packing
+        self.packed = version, await asyncio.shield(task)
+
+    @property
+    def held(self) -> Held:
+        return self.office.replica.acceptor.held
+
+    def lacks(self, pull: post.Pull) -> bool:
+        """Whether the asker is to be given the configuration. What is chosen is so for good, and signalboxes
+        tell each other at once; to a junction nothing is handed out without a lease: it may be old."""
+        return self.held.version > pull.table and (pull.epoch is not None or self.sure())
 
     def receipt(self, pull: post.Pull) -> None:
         """What another disk has of the own drains. A card older than what is known of its host is its last
@@ -180,22 +212,20 @@
     def urgent(self, pieces: list[Piece], pull: post.Pull) -> bool:
         return (
             self.leaving
-            or self.office.box.held.version > pull.table
-            or not pull.vector
+            or self.lacks(pull)
+            or self.life not in pull.vector  # the asker has never heard of this life: it is in touch at once
             or any(key.startswith(BACKENDS) for p in pieces for _, key, _ in p.changes)
         )
 
     def sure(self) -> bool:
-        """Whether what is held here is new: a majority of disks is in touch."""
-        now = now_ns()
-        touched = sum(now - self.touched_ns.get(c.host, 0) < TOUCH_NS for c in self.members.voters())
-        return not self.leaving and self.office.box.sound and 1 + touched > self.boot.tolerate
+        """Whether what is held here is new: this signalbox has its lease."""
+        return not self.leaving and self.office.replica.sure(now_ns())
 
     # -- pulls of others' news
 
     async def pull(self, host: str, port: int) -> None:
         """Pulls from one signalbox until it is no longer known."""
-        peer, turn, asked = self.peer(host, port), 0, ""
+        peer, turn, source = self.peer(host, port), 0, ""
         try:
             while any(c.host == host for c in self.members.voters()) or self.is_seed(host):
                 cards = tuple(self.members.swap()[1:]) if turn % 5 == 0 else ()
@@ -203,29 +233,37 @@
                     self.members.me,
                     cards or (self.members.me,) if turn % 5 == 0 else (),
                     self.news.vector(),
-                    self.office.box.held.version,
-                    PULL_MS if self.fences.level(asked) else OWED_MS,
-                    kept=self.fences.receipt(asked),
+                    self.held.version,
+                    PULL_MS if self.fences.level(source) else OWED_MS,
+                    epoch=self.office.replica.acceptor.newest().number,
+                    kept=self.fences.receipt(source),
                 )
+                asked, sure = now_ns(), self.sure()
                 try:
                     news = post.read_news(await peer.call(b"/pull", pull.pack(), PULL_S))
-                except (NoAnswer, post.Garbled) as trouble:
+                    version, packed = news.table or (0, b"")
+                    held = Held(version, await aside(inflating(packed, BODY_MOST)) if version else b"")
+                except (NoAnswer, ValueError) as trouble:
                     log.debug("no news: {}", trouble)
-                    await asyncio.sleep(0.2)
+                    await asyncio.sleep(0.2 if self.sure() else 0.05)
                     continue
                 turn += 1
                 now = now_ns()
-                self.touched_ns[host] = now
                 self.members.met(now, [news.me, *news.cards])
                 for piece in news.pieces:
                     self.news.take(now, piece)
-                asked = news.me.life
-                await self.fencing.until(partial(self.fences.level, asked), SYNC_S)
+                source = news.me.life
+                await self.fencing.until(partial(self.fences.level, source), SYNC_S)
+                replica, now = self.office.replica, now_ns()
+                if news.epoch is not None:
+                    replica.told(now, news.epoch)
                 if news.table is not None:
-                    try:
-                        await self.office.learn(*news.table)
-                    except sqlite3.Error as trouble:
-                        log.warning("the disk refuses: {}", trouble)
+                    replica.learn(now, held, news.history)
+                if news.seen is not None:
+                    replica.met(now, asked, news.seen)
+                self.office.pump()
+                if self.sure() and not sure:
+                    self.ring()  # whoever waits for a table may have it now
         finally:
             self.pulling.discard((host, port))
 
@@ -279,14 +317,9 @@
         self.sums = {zone: Sums() for zone in self.sums}
 
     def status(self) -> dict[str, Any]:
-        box = self.office.box
         return {
             "node": self.boot.node,
-            "sure": self.sure(),
-            "sound": box.sound,
-            "era": box.era,
-            "version": f"{box.held.version:08x}",
-            "undecided": [f"{v:08x}" for v in sorted(box.slots)],
+            **self.office.replica.status(now_ns()),
             "members": [
                 [k.card.name, k.card.host, k.card.zone, k.card.voting, k.card.beat]
                 for k in self.members.view.values()
@@ -298,9 +331,10 @@
     # -- the outer door
 
     async def ctl(self, scope: Any, receive: Any, send: Any) -> None:
-        body = await whole_body(receive, BODY_MOST)
+        most = min(BODY_MOST, int(self.boot.mem_mb * 1e6 * OWN_PART))
+        body = await whole_body(receive, most, self.room, BODY_S)
         if isinstance(body, Cut):
-            return await answer(send, 413 if body is Cut.LARGE else 408)
+            return await answer(send, {Cut.LARGE: 413, Cut.FULL: 503}.get(body, 408))
         name, _, ident = scope["path"].removeprefix("/api/").partition("/")
         act = self.routes.get((scope["method"], name))
         if act is None or not scope["path"].startswith("/api/"):
@@ -330,22 +364,24 @@
         await ctl.open(*self.boot.bind["ctl"])
         log.info("{} serves", self.boot.node)
         self.neighbours()
-        self.tasks.start(self.office.enter())
         self.tasks.start(self.tasks.every(1.0, self.second))
         self.tasks.start(self.tasks.every(0.25, self.neighbours))
-        self.tasks.start(self.tasks.every(0.1, self.office.finish))
         await asyncio.wait([told, self.tasks.broken], return_when=asyncio.FIRST_COMPLETED)
         if self.tasks.broken.done():
             self.tasks.broken.result()
         log.info("told to end")
         self.leaving = True
+        loop = asyncio.get_running_loop()
+        start, grace_s = loop.time(), self.boot.bounds.grace_s
         ctl.leave()
+        self.ring()
+        # What stands here alone is handed over before the others hear no more of this disk.
+        handed = await self.office.leave(int(grace_s / 2 * 1e9))
+        log.info("handed over: {}", type(handed).__name__)
         inner.leave()
         self.ring()
-        end = asyncio.get_running_loop().time() + min(1.5, self.boot.bounds.grace_s / 2)
-        while asyncio.get_running_loop().time() < end and (ctl.at_work() or inner.at_work()):
+        while loop.time() < start + min(1.5, grace_s / 2) and (ctl.at_work() or inner.at_work()):
             await asyncio.sleep(0.05)
-        await self.office.save()
 
 
 async def serve(boot: Boot, told: asyncio.Future[None]) -> None:
