Members list reads the status of epochs; a disk counts for a drain once it votes

Cause: status tells `voting` as whether the disk votes now, and has no `sound`; the own disk was counted for a drain by the settings' `voting`, also while it is empty and a member of nothing. Change: why not in: silent, no vote by its settings (as other machines' cards say), no member, older epoch, no vote yet, no lease. `held_by_enough` asks the acceptor.

--- a/meadowworks/operate/members.py
+++ b/meadowworks/operate/members.py
@@ -65,51 +65,55 @@
     boxes = {at: found for at, found in told.items() if found is None or "sure" in found}
     newest = max((f for f in boxes.values() if f), key=lambda f: f.get("epoch") or 0, default={})
     epoch, names = newest.get("epoch"), dict(newest.get("members_of_epoch") or {})
+    spectators = {at for at in boxes if at in others(told, at)}
     rows: list[list[Any]] = []
     done: set[str] = set()
     for disk, at in sorted(names.items(), key=lambda pair: pair[1]):
         found = boxes.get(at)
-        if found is not None and found.get("disk") not in (disk, None):
-            other = f"another disk is at its address: {str(found['disk'])[:8]}"
-            rows.append([str(disk)[:8], at, None, None, None, "no", other])
+        if found is not None and not disk.startswith(SEAT) and found.get("disk") not in (disk, None):
+            other = f"gone: another disk is at its address, {str(found['disk'])[:8]}"
+            rows.append([disk[:8], at, None, None, None, "no", other])
             continue
         done.add(at)
-        rows.append(row(str(disk), at, found, epoch, names))
+        rows.append(row(disk, at, found, why_not(found, epoch, names, at in spectators)))
     for at in sorted(boxes.keys() - done):
-        if boxes[at] is not None or not names:
-            rows.append(row("", at, boxes[at], epoch, names))
+        found = boxes[at]
+        if found is not None or not names:
+            rows.append(row("", at, found, why_not(found, epoch, names, at in spectators)))
     return epoch, rows
 
 
-def row(disk: str, at: str, found: Status | None, epoch: int | None, names: dict[str, str]) -> list[Any]:
-    if found is None:
-        return [disk[:8] or None, at, None, None, None, "no", "silent: no answer at its address"]
-    why = why_not(found, epoch, names)
-    disk = str(found.get("disk") or disk)
-    return [
-        disk[:8] or None,
-        at,
-        found.get("node"),
-        found.get("epoch"),
-        found.get("lease_ms"),
-        "no" if why else "yes",
-        why,
-    ]
+def others(told: dict[str, Status | None], at: str) -> set[str]:
+    """The address, if others know its machine as one that does not vote."""
+    host = at.rpartition(":")[0]
+    cards = [row for found in told.values() if found for row in found.get("members") or () if len(row) > 3]
+    return {at for card in cards if card[1] == host and not card[3]}
+
+
+def row(disk: str, at: str, found: Status | None, why: str) -> list[Any]:
+    told = found or {}
+    name = str(told.get("disk") or disk)[:8] or None
+    return [name, at, told.get("node"), told.get("epoch"), told.get("lease_ms"), "no" if why else "yes", why]
 
 
+SEAT = "@"  # begins a member's name at the very first start: whichever disk is at that address
 NOT_VOTING = "does not vote: its settings say so"
 
 
-def why_not(found: Status, epoch: int | None, names: dict[str, str]) -> str:
-    """Why a signalbox that answers is not in, the first cause first; empty if it is in."""
-    if found.get("voting") is False:
+def why_not(found: Status | None, epoch: int | None, names: dict[str, str], spectator: bool = False) -> str:
+    """Why a signalbox is not in, the first cause first; empty if it is in. `spectator`: its settings give it
+    no vote."""
+    if found is None:
+        return "silent: no answer at its address"
+    if spectator:
         return NOT_VOTING
-    if found.get("sound") is False:
-        return "empty disk: learns what the others hold, and enters by itself"
-    if names and found.get("disk") is not None and found["disk"] not in names:
-        return f"its disk is no member of epoch {epoch}: it enters by itself once a majority takes it in"
+    disk = found.get("disk")
+    if names and disk is not None and disk not in names and not any(n.startswith(SEAT) for n in names):
+        return f"no member of epoch {epoch}: its disk is empty and learns, or its place was given away"
     if found.get("epoch") != epoch:
         return f"of epoch {found.get('epoch')}, the newest is {epoch}: it hears no newer member"
+    if found.get("voting") is False:
+        return "no vote yet: it is being handed what the members hold"
     if not found.get("sure") or ("lease_ms" in found and not found["lease_ms"]):
         return "no lease: it does not reach a majority of the members"
     return ""
--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -97,7 +97,7 @@
         """Of the epoch's members: whoever else may vote may be gone for good tomorrow."""
         members = self.office.replica.acceptor.newest().members
         hosts = {address.rpartition(":")[0] for _, address in members} - {self.boot.ip}
-        return self.fences.kept(version, hosts, self.boot.tolerate, self.boot.voting)
+        return self.fences.kept(version, hosts, self.boot.tolerate, self.office.replica.acceptor.votes())
 
     def near(self, ident: str) -> list[str]:
         """Ctl addresses of signalboxes in a backend's zone, if this one is of another; ports are alike."""
