members list says when nobody answers

Cause: an address without a listener was told as one that knows no members. Run: members list 127.0.77.1:1, status 2, one line.

--- a/meadowworks/operate/members.py
+++ b/meadowworks/operate/members.py
@@ -25,7 +25,9 @@
     if action != "list":
         raise Bad(f"there is no {action!r}; usage: meadowworks members list ADDRESS")
     own = asked(at)
-    if own is None or "sure" not in own:
+    if own is None:
+        raise Bad(f"{at} gives no answer to that: is it a controller's inner address?")
+    if "sure" not in own:
         raise Bad(f"{at} tells of no members: is that a signalbox's inner address?")
     places = {at, *addresses(own, at)}
     told: dict[str, Status | None] = {at: own}
