--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -265,16 +265,16 @@
     assert unknown.status == 503 and float(unknown.get(b"retry-after")) < 1
 
 
-@then("after a while it is ready by what it has, and still tells nobody so")
-def ready_cut_off(fleet: Fleet) -> None:
+@then("after a while it still has no table from there, and says when to come back")
+def no_table(fleet: Fleet) -> None:
     node = fleet.nodes[4]
     node.born_ns -= SETTLE_NS
     node.settle(now_ns())
     node.listed_ns -= SETTLE_NS  # its other services' backends are not waited for longer
-    assert node.is_ready() and not node.picture.ever
-    assert fleet.run(fleet.serve(1, b"GET", b"/read/a")).status == 200
-    unknown = fleet.run(fleet.serve(1, b"GET", b"/new/a"))
-    assert unknown.status == 503 and float(unknown.get(b"retry-after")) < 1
+    assert node.table is None and not node.is_ready() and not node.picture.ever
+    for target in (b"/read/a", b"/new/a"):
+        refused = fleet.run(fleet.serve(1, b"GET", target))
+        assert refused.status == 503 and float(refused.get(b"retry-after")) < 1
 
 
 @then("while its picture is old it is ready, and tells nobody that a route is not there")
@@ -321,6 +321,35 @@
     assert node.table.version == 7 and node.table.find("local.example", "/new/a") is None
 
 
+@when("every program is killed and starts again, and one disk is lost")
+def all_lost(fleet: Fleet) -> None:
+    async def whole() -> None:
+        for place in range(5):
+            await fleet.kill(place)
+        shutil.rmtree(fleet.folder / "disk-1")  # where the drain was acknowledged
+        for place in range(5):
+            await fleet.start(place, bootstrap=False)
+        await until(lambda: all(fleet.nodes[k].sure() for k in (0, 2)), "two know each other")
+
+    fleet.run(whole())
+
+
+@then("a late beat does not bring it back anywhere")
+def not_back(fleet: Fleet) -> None:
+    backend = fleet.backends[0]
+    backend.state, backend.calls = "up", 0
+    nodes = [fleet.nodes[k] for k in (0, 2, 3, 4)]
+
+    async def whole() -> None:
+        await until(lambda: all("b0" in node.lives.known for node in nodes), "all know of it")
+        for place in (0, 2):
+            assert await backend.beat(fleet.plan.ctls()[place]) == 200
+        await until(lambda: nodes[3].is_ready(), "it is ready")
+
+    fleet.run(whole())
+    assert {node.lives.known["b0"].state for node in nodes} == {"draining"}
+
+
 @then("the words tell of nodes, backends and reasons, in columns and as one object")
 def words(fleet: Fleet, capsys: pytest.CaptureFixture[str]) -> None:
     box, junction = (f"{fleet.plan.host(k)}:{fleet.plan.ports.inner}" for k in (0, 3))
