lab scale: hollow controllers at a size, and a page of what they cost

Change: meadowworks/lab/hollow.py (a junction and a signalbox of the product's own machines and codecs, metered), scale.py (simulated time and links, processor time measured), series.py (points of an axis, a process each), report.py (fits, SVG); lab scale and lab report beside lab cost.

--- a/meadowworks/lab/commands.py
+++ b/meadowworks/lab/commands.py
@@ -2,16 +2,162 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+import json
+import math
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Annotated, Any
 
 from cappa import Arg
 
 from meadowworks.commands import Bad
-from meadowworks.lab import cost
+from meadowworks.lab import cost, report, scale, series
 
+WHAT = "cost: of joins, reports, ticks, routes, at two sizes; scale: hollow controllers at a size; " \
+    "report: a page of what scale has kept"
 
-def lab(what: Annotated[str, Arg(help="cost: of joins, reports, ticks, routes, at two sizes")]) -> int:
-    """Measures the product's machines, as ratios within one run."""
-    if what != "cost":
-        raise Bad(f"there is no measurement {what!r}: there is cost")
-    return cost.main()
+
+def lab(
+    what: Annotated[str, Arg(help=WHAT)],
+    files: Annotated[list[Path] | None, Arg(help="report: what scale has kept")] = None,
+    controllers: Annotated[int, Arg(long=True, help="junctions and signalboxes together")] = 30,
+    boxes: Annotated[int, Arg(long=True, help="signalboxes among them")] = 3,
+    zones: Annotated[int, Arg(long=True, help="zones, four to a region")] = 4,
+    backends: Annotated[int, Arg(long=True, help="backends")] = 100,
+    services: Annotated[int, Arg(long=True, help="services")] = 10,
+    routes: Annotated[int, Arg(long=True, help="routes of the configuration")] = 100,
+    changes: Annotated[float, Arg(long=True, help="of the configuration, an hour")] = 0.0,
+    churn: Annotated[float, Arg(long=True, help="lives that end and are followed by another, an hour")] = 0.0,
+    requests: Annotated[float, Arg(long=True, help="a second and junction")] = 190.0,
+    seconds: Annotated[float, Arg(long=True, help="simulated seconds that are counted")] = 10.0,
+    whole: Annotated[int, Arg(long=True, help="junctions that are played whole")] = 4,
+    seed: Annotated[int, Arg(long=True, help="of what is drawn")] = 1,
+    cpu: Annotated[
+        bool, Arg(long="--cpu/--no-cpu", help="whether processor time delays what comes after it")
+    ] = True,
+    memory: Annotated[bool, Arg(long="--memory/--no-memory", help="measure a start and memory too")] = True,
+    loss: Annotated[str, Arg(long=True, help=f"what is lost: {', '.join(scale.LOSSES)}")] = "",
+    axis: Annotated[str, Arg(long=True, help=f"a series along one of {', '.join(series.POINTS)}")] = "",
+    points: Annotated[str, Arg(long=True, help="of the series, with commas between")] = "",
+    runs: Annotated[int, Arg(long=True, help="of each point, with other seeds")] = 1,
+    processes: Annotated[int, Arg(long=True, help="at once, 16 at most")] = 1,
+    keep: Annotated[Path | None, Arg(long=True, help="a file that each result is added to")] = None,
+    page: Annotated[Path | None, Arg(long=True, help="report: the HTML page to write")] = None,
+    as_json: Annotated[bool, Arg(long="--json", help="one JSON object on standard output")] = False,
+) -> int:
+    """Measures the product's machines: as ratios within one run, or at a size with hollow controllers."""
+    if what == "cost":
+        return cost.main()
+    if what == "report":
+        return told(files or [], page)
+    if what != "scale":
+        raise Bad(f"there is no measurement {what!r}: there are cost, scale and report")
+    asked = scale.Asked(
+        controllers, boxes, zones, backends, services, routes, changes, churn, requests, seconds, whole, seed,
+        cpu, memory, loss,
+    )
+    sound(asked)
+    if runs < 1 or not 1 <= processes <= 16:
+        raise Bad("--runs is 1 or more, --processes from 1 to 16")
+    if not axis and runs == 1:
+        found = scale.measure(asked, progress)
+        kept(keep, found)
+        print(json.dumps(found) if as_json else plain(found))
+        return 0 if found["complete"] else 130
+    if axis and axis not in series.POINTS:
+        raise Bad(f"there is no axis {axis!r}: there are {', '.join(series.POINTS)}")
+    values = numbers(points) or series.POINTS.get(axis, (0,))
+    wanted = [
+        replace(one, seed=seed + run)
+        for value in values
+        for run in range(runs)
+        for one in [series.point(asked, axis, value) if axis else asked]
+    ]
+    for one in wanted:
+        sound(one)
+    found_all = []
+    complete = True
+    try:
+        for found in series.play(wanted, processes, progress):
+            kept(keep, found)
+            found_all.append(found)
+            if not as_json:
+                print(plain(found), flush=True)
+    except KeyboardInterrupt:
+        complete = False
+    if as_json:
+        print(json.dumps({"complete": complete, "points": found_all}))
+    return 0 if complete else 130
+
+
+def sound(asked: scale.Asked) -> None:
+    """Raises Bad for what cannot be played."""
+    if not 1 <= asked.boxes <= 16 or asked.controllers <= asked.boxes:
+        raise Bad("--boxes is from 1 to 16, and there are more --controllers than that")
+    if min(asked.zones, asked.backends, asked.services, asked.routes, asked.whole) < 1 or asked.seconds <= 0:
+        raise Bad("--zones, --backends, --services, --routes and --whole are 1 or more, --seconds above 0")
+    if min(asked.changes, asked.churn, asked.requests) < 0 or not math.isfinite(
+        asked.changes + asked.churn + asked.requests + asked.seconds
+    ):
+        raise Bad("--changes, --churn and --requests are 0 or more")
+    if asked.loss and asked.loss not in scale.LOSSES:
+        raise Bad(f"there is no loss {asked.loss!r}: there are {', '.join(scale.LOSSES)}")
+
+
+def numbers(text: str) -> tuple[float, ...]:
+    try:
+        return tuple(float(part) for part in text.split(",")) if text else ()
+    except ValueError:
+        raise Bad(f"--points are numbers with commas between, not {text[:40]!r}") from None
+
+
+def progress(line: str) -> None:
+    print(f"lab scale: {line}", file=sys.stderr, flush=True)
+
+
+def kept(file: Path | None, found: dict[str, Any]) -> None:
+    if file:
+        file.parent.mkdir(parents=True, exist_ok=True)
+        with file.open("a") as out:
+            out.write(json.dumps(found) + "\n")
+
+
+def plain(found: dict[str, Any]) -> str:
+    asked = found["asked"]
+    lines = [", ".join(f"{name} {asked[name]:g}" for name in series.POINTS)
+             + ("" if found["complete"] else " (ended early)")]
+    for name, role in found["roles"].items():
+        if role:
+            memory = found["memory"].get(name, {}).get("held_mb")
+            lines.append(
+                f"  {name:9} x {role['controllers']}: {role['processor_ms_s']:.2f} ms of processor a second, "
+                f"in {role['in_bytes_s'] / 1000:.2f} kB, out {role['out_bytes_s'] / 1000:.2f} kB, "
+                f"{role['out_messages_s']:.2f} messages"
+                + (f", {memory:.2f} MB" if memory is not None else "")
+            )
+    for one in found["changes"]:
+        shown = (f"{n} {v:.3f}" if v is not None else f"{n} not in time" for n, v in one.items())
+        lines.append(f"  a change: {', '.join(shown)}")
+    if found["loss"]:
+        lines.append(f"  loss: {json.dumps(found['loss'])}")
+    return "\n".join(lines)
+
+
+def told(files: list[Path], page: Path | None) -> int:
+    if not files:
+        raise Bad("report wants the files that scale has kept")
+    results = []
+    for file in files:
+        try:
+            results += [json.loads(line) for line in file.read_text().splitlines() if line.strip()]
+        except (OSError, ValueError) as trouble:
+            raise Bad(f"{file}: {trouble}") from None
+    try:
+        text, html = report.report(results)
+    except (KeyError, TypeError) as trouble:
+        raise Bad(f"these are no results of scale: {trouble}") from None
+    if page:
+        page.write_text(html)
+    print(text)
+    return 0
--- /dev/null
+++ b/meadowworks/lab/hollow.py
@@ -0,0 +1,418 @@
+"""Hollow controllers: a junction and a signalbox out of the product's own machines and codecs, without
+sockets, requests or disks.
+
+What the shells (`junction/program.py`, `signalbox/program.py`) do between a message that comes and one that
+leaves is done here with the same calls in the same order; the clock is handed in. Each call is metered by the
+processor time of this process (`time.process_time_ns`, summed by part). Left out: HTTP, the disk, the
+register's own decisions, and requests, of which only the figures are told.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any, TypeVar
+
+from meadowworks.carriage.yard import Yard
+from meadowworks.points.figures import PREFIX as FIGURES
+from meadowworks.points.figures import Sums
+from meadowworks.points.service import Met, Service
+from meadowworks.roster.beats import PREFIX as BACKENDS
+from meadowworks.roster.beats import Beats
+from meadowworks.roster.lives import Lives
+from meadowworks.telegraph import post
+from meadowworks.telegraph.members import Card, Members
+from meadowworks.telegraph.news import News, Piece, Told
+from meadowworks.timetable.routes import Timetable
+from meadowworks.timetable.routes import load as load_table
+
+MS, SECOND = 1_000_000, 1_000_000_000
+PORT = 7540
+T = TypeVar("T")
+Clock = Callable[[], int]
+
+
+@dataclass(slots=True)
+class Meter:
+    """Of one controller, over the whole run. Bytes are of message bodies."""
+
+    parts: dict[str, int] = field(default_factory=dict)  # nanoseconds of processor time
+    turn_ns: int = 0  # of what it does just now
+    in_bytes: int = 0
+    out_bytes: int = 0
+    ins: int = 0
+    outs: int = 0
+
+    def timed(self, part: str, act: Callable[[], T]) -> T:
+        start = time.process_time_ns()
+        try:
+            return act()
+        finally:
+            spent = time.process_time_ns() - start
+            self.turn_ns += spent
+            self.parts[part] = self.parts.get(part, 0) + spent
+
+    def turn(self) -> int:
+        spent, self.turn_ns = self.turn_ns, 0
+        return spent
+
+    def came(self, size: int) -> None:
+        self.ins, self.in_bytes = self.ins + 1, self.in_bytes + size
+
+    def left(self, size: int) -> None:
+        self.outs, self.out_bytes = self.outs + 1, self.out_bytes + size
+
+    def clear(self) -> None:
+        self.parts.clear()
+        self.in_bytes = self.out_bytes = self.ins = self.outs = 0
+
+
+def card(name: str, host: str, zone: str, voting: bool, life: int = 0) -> Card:
+    return Card(name, host, PORT, zone, voting, f"{name}.{life:08x}", 1_764_000_000 + life)
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A pull that is held back. `until_ns`: when it is answered in any case."""
+
+    pull: post.Pull
+    until_ns: int
+    give: Callable[[bytes, post.News], None]
+    done: bool = False
+
+
+class Signalbox:
+    """`later(wait_ns, act)` calls back at this box once it is free."""
+
+    PULL_MS, BATCH_NS = 1000, 150 * MS
+
+    def __init__(
+        self, me: Card, beat_ms: int, clock: Clock, later: Callable[[int, Callable[[], None]], None]
+    ) -> None:
+        self.now, self.later, self.meter = clock, later, Meter()
+        self.members = Members(me, 7)
+        self.news = News(me.life)
+        self.lives = Lives(lambda name: self.news.quiet(clock(), name), clock)
+        self.news.listeners += [self.told, self.lives.told]
+        self.beats = Beats(self.news.say, beat_ms)
+        self.held: tuple[int, bytes] = (0, b"")
+        self.waiting: dict[int, Waiting] = {}
+        self.sums: dict[str, Sums] = {}
+        self.summed_ns, self.pulse, self.turns = clock(), 0, 0
+        self.drains: dict[int, Callable[[], None]] = {}  # acknowledgements that wait, by version of the news
+        self.others = 1  # that must hold a drain
+
+    # -- what wakes a pull
+
+    def told(self, event: Told) -> None:
+        if event.key.startswith(BACKENDS):
+            self.ring()
+
+    def ring(self) -> None:
+        for key, one in list(self.waiting.items()):
+            del self.waiting[key]
+            batched = not one.pull.me.voting and self.held[0] <= one.pull.table
+            wait = min(self.BATCH_NS, max(0, one.until_ns - self.now())) if batched else 0
+            self.later(wait, lambda one=one: self.look(one))  # type: ignore[misc]
+
+    def learn(self, version: int, content: bytes) -> None:
+        if version > self.held[0]:
+            self.held = version, content
+            self.ring()
+
+    # -- the inner door
+
+    def pulled(self, body: bytes, give: Callable[[bytes, post.News], None]) -> None:
+        """A pull has come; `give` gets the answer, packed and whole."""
+        self.meter.came(len(body))
+        pull = self.meter.timed("read a pull", lambda: post.read_pull(body))
+
+        def note() -> None:
+            self.members.met(self.now(), [pull.me, *pull.cards])
+            self.news.asked(pull.me.host, pull.vector)
+            if pull.me.voting:
+                self.kept()
+            if pull.figures:
+                self.sums.setdefault(pull.me.zone, Sums()).add(pull.figures)
+
+        self.meter.timed("note a pull", note)
+        one = Waiting(pull, self.now() + min(pull.wait_ms, self.PULL_MS) * MS, give)
+        self.later(min(pull.wait_ms, self.PULL_MS) * MS, lambda: self.due(one))
+        self.look(one)
+
+    def due(self, one: Waiting) -> None:
+        if not one.done and self.waiting.pop(id(one), None) is not None:
+            self.look(one)
+
+    def look(self, one: Waiting) -> None:
+        if one.done:
+            return
+        pieces = self.meter.timed(
+            "what it lacks", lambda: self.news.lacks(one.pull.vector, one.pull.me.life)
+        )
+        if self.now() < one.until_ns and not self.urgent(pieces, one.pull):
+            self.waiting[id(one)] = one
+            return
+        one.done = True
+        self.meter.timed("answer a pull", lambda: self.answer(one, pieces))
+
+    def urgent(self, pieces: Iterable[Piece], pull: post.Pull) -> bool:
+        return (
+            self.held[0] > pull.table
+            or not pull.vector
+            or any(key.startswith(BACKENDS) for p in pieces for _, key, _ in p.changes)
+        )
+
+    def answer(self, one: Waiting, pieces: list[Piece]) -> None:
+        pull = one.pull
+        table = self.held if self.held[0] > pull.table else None
+        cards = tuple(self.members.swap()[1:]) if pull.cards else ()
+        known = self.members.view.get(pull.me.host)
+        if known is not None and known.card.beat > pull.me.beat:
+            cards = (*cards, known.card)
+        news = post.News(self.members.me, cards, tuple(pieces), True, table)
+        body = news.pack()
+        self.meter.left(len(body))
+        one.give(body, news)
+
+    # -- backends
+
+    def beat(self, ident: str, body: bytes, acked: Callable[[], None]) -> None:
+        def act() -> int:
+            found = self.beats.beat(self.now(), ident, json.loads(body))
+            return getattr(found, "version", 0)
+
+        self.called(body, self.meter.timed("a beat", act), acked)
+
+    def leave(self, ident: str, acked: Callable[[], None]) -> None:
+        version = self.meter.timed("a beat", lambda: self.beats.leave(self.now(), ident).version)
+        self.called(b"{}", version, acked)
+
+    def called(self, body: bytes, version: int, acked: Callable[[], None]) -> None:
+        self.meter.came(len(body))
+        self.meter.left(2)
+        if version:
+            self.drains[version] = acked
+            self.meter.timed("note a pull", self.kept)
+        else:
+            acked()
+
+    def kept(self) -> None:
+        """Acknowledges the drains and leaves that enough others hold."""
+        hosts = {c.host for c in self.members.voters()} if self.drains else set()
+        for version in list(self.drains):
+            if len(self.news.holders(version) & hosts) >= self.others:
+                self.drains.pop(version)()
+
+    # -- pulls of others' news
+
+    def ask(self, cards: bool) -> bytes:
+        def act() -> bytes:
+            told = tuple(self.members.swap()[1:]) or (self.members.me,) if cards else ()
+            return post.Pull(
+                self.members.me, told, self.news.vector(), self.held[0], self.PULL_MS
+            ).pack()
+
+        body = self.meter.timed("ask others", act)
+        self.meter.left(len(body))
+        return body
+
+    def take(self, body: bytes) -> None:
+        self.meter.came(len(body))
+        news = self.meter.timed("read news", lambda: post.read_news(body))
+
+        def act() -> None:
+            now = self.now()
+            self.members.met(now, [news.me, *news.cards])
+            for piece in news.pieces:
+                self.news.take(now, piece)
+            if news.table is not None:
+                self.learn(*news.table)
+
+        self.meter.timed("take news", act)
+
+    # -- from time to time
+
+    def second(self) -> None:
+        self.meter.timed("each second: lives", self.turn_lives)
+        self.meter.timed("each second: figures", self.turn_figures)
+        self.meter.timed("each second: for the disk", self.packed)
+
+    def turn_lives(self) -> None:
+        now = self.now()
+        self.members.pulse()
+        self.members.expire(now)
+        self.news.expire(now)
+        self.beats.tick(now)
+        self.lives.tick()
+        self.lives.changed.clear()
+
+    def turn_figures(self) -> None:
+        now = self.now()
+        self.pulse += 1
+        self.news.say("pulse", self.pulse)
+        covers_ms = (now - self.summed_ns) // MS
+        self.summed_ns = now
+        for zone, sums in self.sums.items():
+            if sums or self.news.sources[self.news.me].entries.get(FIGURES + zone, (0, None))[1]:
+                self.news.say(FIGURES + zone, [covers_ms, *sums.pack()] if sums else None)
+        self.sums = {zone: Sums() for zone in self.sums}
+
+    def packed(self) -> dict[str, bytes]:
+        return {ident: post.pack(value) for ident, value in self.beats.kept().items()}
+
+
+class Junction:
+    def __init__(self, me: Card, zones: list[str], clock: Clock) -> None:
+        self.now, self.meter, self.zones, self.zone = clock, Meter(), zones, me.zone
+        self.random = random.Random(me.host)
+        self.members = Members(me, 7)
+        self.news = News(me.life)
+        self.lives = Lives(lambda name: self.news.quiet(clock(), name), clock)
+        self.news.listeners += [self.lives.told, self.figures]
+        self.table: Timetable | None = None
+        self.services: dict[str, Service] = {}
+        self.yard: Yard[Any] = Yard()
+        self.sums, self.own = Sums(), Sums()
+        self.turns = 0
+        self.in_force: Callable[[int], None] = lambda version: None
+
+    # -- what is known
+
+    def figures(self, event: Told) -> None:
+        zone = event.key.removeprefix(FIGURES)
+        if event.key.startswith(FIGURES) and event.value is not None and zone in self.zones:
+            covers_ms, met, asked = event.value
+            self.heard(zone, int(covers_ms), met, dict(asked))
+
+    def heard(self, zone: str, covers_ms: int, met: Any, asked: dict[str, int]) -> None:
+        now, place = self.now(), self.zones.index(zone)
+        by_service: dict[str, dict[str, Met]] = {}
+        for ident, tries, bad, spent, told, running, waiting in met:
+            if known := self.lives.known.get(ident):
+                mean = int(spent * MS / max(1, tries - bad))
+                waits = waiting / told if told else -1.0
+                by_service.setdefault(known.svc, {})[ident] = Met(tries, bad, mean, waits)
+                if told:
+                    self.yard.figures(now, ident, (running + waiting) / told)
+        for name, service in self.services.items():
+            service.heard(now, place, by_service.get(name, {}), asked.get(name, 0), max(1, covers_ms) * MS)
+
+    def take_table(self, table: Timetable) -> None:
+        self.table = table
+        targets: dict[str, float] = {}
+        for routes in table.hosts.values():
+            for route in routes.values():
+                for name, _ in route.split:
+                    targets[name] = max(targets.get(name, 0.0), route.target_ms)
+        for name in table.services:
+            target_ns = int(targets.get(name, 1000.0) * MS) or SECOND
+            if name in self.services:
+                self.services[name].aims(target_ns)
+            else:
+                seed = self.random.getrandbits(32)
+                self.services[name] = Service(name, self.zones, self.zone, target_ns, seed, self.now())
+        self.lives.changed |= set(self.lives.known)
+        self.relist()
+
+    def relist(self) -> None:
+        if not self.lives.changed:
+            return
+        self.lives.changed.clear()
+        listing, now = self.lives.listing(), self.now()
+        for name, service in self.services.items():
+            service.listed(now, listing.get(name, []))
+        self.yard.sweep(now, set(self.lives.known))
+
+    # -- pulls
+
+    def ask(self) -> bytes:
+        def act() -> bytes:
+            cards = (self.members.me,) if self.turns % 5 == 0 else ()
+            sums, self.sums = self.sums, Sums()
+            version = self.table.version if self.table else 0
+            figures = sums.pack() if sums else None
+            return post.Pull(self.members.me, cards, self.news.vector(), version, 1000, figures).pack()
+
+        body = self.meter.timed("ask", act)
+        self.meter.left(len(body))
+        return body
+
+    def take(self, body: bytes) -> None:
+        self.meter.came(len(body))
+        news = self.meter.timed("read news", lambda: post.read_news(body))
+        content = news.table
+        table = self.meter.timed("load a table", lambda: load_table(content[1])) if content else None
+
+        def act() -> None:
+            now = self.now()
+            self.turns += 1
+            self.members.met(now, [news.me, *news.cards])
+            for piece in news.pieces:
+                self.news.take(now, piece)
+
+        self.meter.timed("take news", act)
+        if table is not None:
+            version = table.version
+            self.meter.timed("take a table", lambda: self.take_table(table))
+            self.in_force(version)
+        self.meter.timed("hand on lives", self.relist)
+
+    # -- from time to time
+
+    def second(self) -> None:
+        def act() -> None:
+            now = self.now()
+            self.members.pulse()
+            self.members.expire(now)
+            self.news.expire(now)
+            self.lives.tick()
+
+        def late() -> None:
+            now, mine = self.now(), self.zones.index(self.zone)
+            own, self.own = self.own, Sums()
+            if any(service.late(now, mine) for service in self.services.values()):
+                self.heard(self.zone, 1000, own.pack()[0], own.asked)
+
+        self.meter.timed("each second: lives", act)
+        self.meter.timed("hand on lives", self.relist)
+        self.meter.timed("each second: own figures", late)
+        self.meter.timed("each second: lines", lambda: self.yard.sweep(self.now(), set(self.lives.known)))
+
+    def quarter(self) -> None:
+        now = self.now()
+        self.meter.timed("controllers' turns", lambda: self.ticks(now))
+
+    def ticks(self, now: int) -> None:
+        for service in self.services.values():
+            service.tick(now)
+            service.notes.clear()
+
+
+class Caller:
+    """A junction as its signalbox sees it, at a small part of the cost: what it says is made by the product's
+    codec, what it is told it keeps as a vector alone. `charge` gives the processor time of a whole one."""
+
+    def __init__(self, me: Card, figures: Callable[[], Any]) -> None:
+        self.me, self.figures = me, figures
+        self.vector: dict[str, int] = {}
+        self.version = self.turns = 0
+        self.meter = Meter()
+
+    def ask(self, beat: int) -> bytes:
+        self.me = replace(self.me, beat=beat)
+        cards = (self.me,) if self.turns % 5 == 0 else ()
+        body = post.Pull(self.me, cards, self.vector, self.version, 1000, self.figures()).pack()
+        self.meter.left(len(body))
+        return body
+
+    def take(self, body: bytes, news: post.News) -> None:
+        self.meter.came(len(body))
+        self.turns += 1
+        for piece in news.pieces:
+            self.vector[piece.source] = piece.top
+        if news.table is not None:
+            self.version = news.table[0]
--- /dev/null
+++ b/meadowworks/lab/report.py
@@ -0,0 +1,197 @@
+"""What `lab scale` has measured: points, a fit, its spread, and what it leads to at the target's size."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from html import escape
+from statistics import mean
+from typing import Any
+
+TARGET = {
+    "controllers": 3300.0, "backends": 28000.0, "services": 1800.0, "routes": 52000.0,
+    "changes": 92.0, "churn": 324.0, "boxes": 9.0, "zones": 24.0,
+}  # the users' letter; a day's changes and churn as an hour's
+AXES = tuple(TARGET)
+Pick = Callable[[dict[str, Any]], float | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """Something measured. `budget` in the same unit, if the users named one."""
+
+    name: str
+    unit: str
+    pick: Pick
+    budget: float | None = None
+
+
+def role(who: str, what: str, scale: float = 1.0) -> Pick:
+    def pick(found: dict[str, Any]) -> float | None:
+        value = found["roles"][who].get(what)
+        return None if value is None else value * scale
+
+    return pick
+
+
+def began(what: str, scale: float = 1.0) -> Pick:
+    return lambda found: found["start"]["junction"][what] * scale if found["start"] else None
+
+
+def held(who: str) -> Pick:
+    return lambda found: found["memory"].get(who, {}).get("held_mb")
+
+
+def slowest(found: dict[str, Any]) -> float | None:
+    values = [one["at_all_s"] for one in found["changes"] if one["at_all_s"] is not None]
+    return max(values) if values else None
+
+
+FIGURES = (
+    Figure("a junction's processor time", "ms/s", role("junction", "processor_ms_s"), 26.0),
+    Figure("a junction's bytes in", "kB/s", role("junction", "in_bytes_s", 1e-3), 7.0),
+    Figure("a junction's memory", "MB", held("junction"), 32.0),
+    Figure("a signalbox's processor time", "ms/s", role("signalbox", "processor_ms_s"), 1000.0),
+    Figure("a signalbox's bytes out", "kB/s", role("signalbox", "out_bytes_s", 1e-3)),
+    Figure("a signalbox's messages out", "1/s", role("signalbox", "out_messages_s")),
+    Figure("a signalbox's memory", "MB", held("signalbox")),
+    Figure("a junction's start, bytes", "kB", began("bytes", 1e-3)),
+    Figure("a junction's start, processor time", "ms", began("processor_ms")),
+    Figure("a change in force everywhere", "s", slowest, 4.0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """y = base + slope * x by least squares of relative deviations. `off`: the largest of those."""
+
+    base: float
+    slope: float
+    off: float
+    power: float  # of the upper half of the points, by logarithms
+
+    def at(self, x: float) -> float:
+        return self.base + self.slope * x
+
+
+def fit(points: Sequence[tuple[float, float]]) -> Fit | None:
+    points = [(x, y) for x, y in points if y > 0]
+    if len({x for x, _ in points}) < 2:
+        return None
+    w = [1 / y**2 for _, y in points]
+    sw = sum(w)
+    mx = sum(a * x for a, (x, _) in zip(w, points, strict=True)) / sw
+    my = sum(a * y for a, (_, y) in zip(w, points, strict=True)) / sw
+    sxx = sum(a * (x - mx) ** 2 for a, (x, _) in zip(w, points, strict=True))
+    slope = sum(a * (x - mx) * (y - my) for a, (x, y) in zip(w, points, strict=True)) / sxx
+    base = my - slope * mx
+    off = max(abs(base + slope * x - y) / y for x, y in points)
+    return Fit(base, slope, off, power(points))
+
+
+def power(points: Sequence[tuple[float, float]]) -> float:
+    points = sorted(p for p in points if p[0] > 0)
+    xs = sorted({x for x, _ in points})
+    upper = [(math.log(x), math.log(y)) for x, y in points if x >= xs[len(xs) // 2 - (len(xs) < 4)]]
+    mx, my = mean(x for x, _ in upper), mean(y for _, y in upper)
+    spread = sum((x - mx) ** 2 for x, _ in upper)
+    return sum((x - mx) * (y - my) for x, y in upper) / spread if spread else 0.0
+
+
+def axis_of(results: Iterable[dict[str, Any]]) -> dict[str, list[dict[str, Any]]]:
+    """Results by the axis along which they differ from the most usual of the file's values."""
+    results = [r for r in results if r["complete"] and not r["loss"]]
+    usual: dict[str, Any] = {}
+    for name in AXES:
+        values = [r["asked"][name] for r in results]
+        usual[name] = max(set(values), key=values.count) if values else None
+    found: dict[str, list[dict[str, Any]]] = {}
+    for name in AXES:
+        rows = [r for r in results if all(r["asked"][o] == usual[o] for o in AXES if o != name)]
+        if len({r["asked"][name] for r in rows}) > 1:
+            found[name] = rows
+    return found
+
+
+def report(results: list[dict[str, Any]]) -> tuple[str, str]:
+    """As Markdown tables, and as an HTML page with a plot of each."""
+    text, pictures = [], []
+    for axis, rows in axis_of(results).items():
+        text += ["", f"### {axis}", ""]
+        xs = sorted({r["asked"][axis] for r in rows})
+        head = [f"{x:g}" for x in xs]
+        text += ["| | " + " | ".join(head) + " | fit | off by | power | at " + f"{TARGET[axis]:g} |",
+                 "|" + "---|" * (len(head) + 5)]
+        pictures.append(f"<h2>{axis}</h2>")
+        for figure in FIGURES:
+            points = [(float(r["asked"][axis]), y) for r in rows if (y := figure.pick(r)) is not None]
+            if len({x for x, _ in points}) < 2:
+                continue
+            cells = [cell([y for x, y in points if x == at]) for at in xs]
+            found = fit(points)
+            tail = ["", "", "", ""]
+            if found:
+                mark = "" if max(xs) >= TARGET[axis] else " x"
+                tail = [f"{short(found.base)} + {short(found.slope)} n", f"{found.off:.0%}",
+                        f"{found.power:.2f}", short(found.at(TARGET[axis])) + mark]
+            text.append(f"| {figure.name}, {figure.unit} | " + " | ".join([*cells, *tail]) + " |")
+            pictures.append(plot(f"{figure.name}, {figure.unit}", axis, points, found, figure.budget))
+    page = "<!doctype html><meta charset=utf-8><title>lab scale</title>" \
+        "<style>body{font:14px sans-serif;margin:2em}svg{margin:4px}</style>" \
+        "<h1>Measured points, fit and budget</h1><p>Dots: runs. Line: base + slope n. Dashed: the budget.</p>"
+    return "\n".join(text).strip(), page + "\n".join(pictures)
+
+
+def short(value: float) -> str:
+    return f"{value:.3g}" if abs(value) < 1000 else f"{value:,.0f}"
+
+
+def cell(values: list[float]) -> str:
+    """Mean, and half of what lies between the least and the most as a part of it."""
+    if not values:
+        return ""
+    middle = mean(values)
+    spread = (max(values) - min(values)) / 2 / middle if middle else 0.0
+    return short(middle) + (f" ±{spread:.0%}" if len(values) > 1 and spread >= 0.005 else "")
+
+
+def plot(title: str, axis: str, points: list[tuple[float, float]], found: Fit | None,
+         budget: float | None, wide: int = 420, high: int = 260) -> str:
+    """Both scales logarithmic."""
+    points = [(x, y) for x, y in points if x > 0 and y > 0]
+    if not points:
+        return ""
+    end = TARGET[axis]
+    xs = [x for x, _ in points] + [end]
+    ys = [y for _, y in points] + ([budget] if budget else [])
+    if found and found.at(end) > 0:
+        ys.append(found.at(end))
+    low_x, top_x = math.log10(min(xs)) - 0.05, math.log10(max(xs)) + 0.05
+    low_y, top_y = math.log10(min(ys)) - 0.1, math.log10(max(ys)) + 0.1
+
+    def place(x: float, y: float) -> tuple[float, float]:
+        return (50 + (math.log10(x) - low_x) / (top_x - low_x) * (wide - 60),
+                high - 30 - (math.log10(y) - low_y) / (top_y - low_y) * (high - 60))
+
+    marks = []
+    for k in range(math.ceil(low_x), math.floor(top_x) + 1):
+        at = place(10.0**k, 10**low_y)
+        marks.append(f'<text x="{at[0]:.0f}" y="{high - 14}" text-anchor="middle">{10.0**k:g}</text>'
+                     f'<path d="M{at[0]:.0f} 30V{high - 30}" stroke="#ddd"/>')
+    for k in range(math.ceil(low_y), math.floor(top_y) + 1):
+        at = place(10**low_x, 10.0**k)
+        marks.append(f'<text x="46" y="{at[1] + 4:.0f}" text-anchor="end">{10.0**k:g}</text>'
+                     f'<path d="M50 {at[1]:.0f}H{wide - 10}" stroke="#ddd"/>')
+    if found:
+        steps = [10 ** (low_x + (math.log10(max(xs)) - low_x) * k / 40) for k in range(41)]
+        way = [place(x, found.at(x)) for x in steps if found.at(x) > 0 and math.log10(found.at(x)) >= low_y]
+        marks.append('<polyline fill="none" stroke="#27c" points="'
+                     + " ".join(f"{x:.1f},{y:.1f}" for x, y in way) + '"/>')
+    if budget:
+        y = place(xs[0], budget)[1]
+        marks.append(f'<path d="M50 {y:.1f}H{wide - 10}" stroke="#c33" stroke-dasharray="5 4"/>')
+    marks += [f'<circle cx="{place(x, y)[0]:.1f}" cy="{place(x, y)[1]:.1f}" r="3"/>' for x, y in points]
+    return (f'<svg xmlns="http://www.w3.org/2000/svg" width="{wide}" height="{high}" font-size="11" '
+            f'font-family="sans-serif"><text x="50" y="18" font-size="13">{escape(title)} by {axis}</text>'
+            + "".join(marks) + "</svg>")
