--- a/meadowworks/lab/commands.py
+++ b/meadowworks/lab/commands.py
@@ -38,6 +38,7 @@
     ] = True,
     memory: Annotated[bool, Arg(long="--memory/--no-memory", help="measure a start and memory too")] = True,
     loss: Annotated[str, Arg(long=True, help=f"what is lost: {', '.join(scale.LOSSES)}")] = "",
+    most_mb: Annotated[float, Arg(long=True, help="of memory in a process; beyond it a run ends")] = 4000.0,
     axis: Annotated[str, Arg(long=True, help=f"a series along one of {', '.join(series.POINTS)}")] = "",
     points: Annotated[str, Arg(long=True, help="of the series, with commas between")] = "",
     runs: Annotated[int, Arg(long=True, help="of each point, with other seeds")] = 1,
@@ -55,7 +56,7 @@
         raise Bad(f"there is no measurement {what!r}: there are cost, scale and report")
     asked = scale.Asked(
         controllers, boxes, zones, backends, services, routes, changes, churn, requests, seconds, whole, seed,
-        cpu, memory, loss,
+        cpu, memory, loss, most_mb,
     )
     sound(asked)
     if runs < 1 or not 1 <= processes <= 16:
@@ -95,7 +96,8 @@
     """Raises Bad for what cannot be played."""
     if not 1 <= asked.boxes <= 16 or asked.controllers <= asked.boxes:
         raise Bad("--boxes is from 1 to 16, and there are more --controllers than that")
-    if min(asked.zones, asked.backends, asked.services, asked.routes, asked.whole) < 1 or asked.seconds <= 0:
+    least = min(asked.zones, asked.backends, asked.services, asked.routes, asked.whole)
+    if least < 1 or not asked.seconds > 0:
         raise Bad("--zones, --backends, --services, --routes and --whole are 1 or more, --seconds above 0")
     if min(asked.changes, asked.churn, asked.requests) < 0 or not math.isfinite(
         asked.changes + asked.churn + asked.requests + asked.seconds
@@ -125,8 +127,8 @@
 
 def plain(found: dict[str, Any]) -> str:
     asked = found["asked"]
-    lines = [", ".join(f"{name} {asked[name]:g}" for name in series.POINTS)
-             + ("" if found["complete"] else " (ended early)")]
+    lines = [", ".join(f"{name} {asked[name]:g}" for name in series.TARGET)
+             + ("" if found["complete"] else f" (not to its end: {found['why']})")]
     for name, role in found["roles"].items():
         if role:
             memory = found["memory"].get(name, {}).get("held_mb")
--- a/meadowworks/lab/report.py
+++ b/meadowworks/lab/report.py
@@ -9,10 +9,8 @@
 from statistics import mean
 from typing import Any
 
-TARGET = {
-    "controllers": 3300.0, "backends": 28000.0, "services": 1800.0, "routes": 52000.0,
-    "changes": 92.0, "churn": 324.0, "boxes": 9.0, "zones": 24.0,
-}  # the users' letter; a day's changes and churn as an hour's
+from meadowworks.lab.series import TARGET
+
 AXES = tuple(TARGET)
 Pick = Callable[[dict[str, Any]], float | None]
 
--- a/meadowworks/lab/scale.py
+++ b/meadowworks/lab/scale.py
@@ -18,7 +18,7 @@
 import zlib
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from functools import partial
 from itertools import count
 from typing import Any
@@ -27,6 +27,7 @@
 from meadowworks.lab.hollow import MS, SECOND, Caller, Junction, Meter, Signalbox, card
 from meadowworks.points.figures import Sums
 from meadowworks.telegraph import post
+from meadowworks.telegraph.members import STALE_NS
 from meadowworks.timetable.check import check
 
 BEAT_MS = 1500
@@ -37,6 +38,8 @@
 WARM_S = 2.5  # simulated, before anything is counted
 HOUR = 3600.0
 LOSSES = ("backend", "junction", "box", "rack", "zone", "region", "start")
+RACK = 40  # machines of one zone, junctions and backends by how many there are
+PULL_NS, BOX_PULL_NS, CONNECT_NS, BEAT_NS = 1600 * MS, 2 * SECOND, 250 * MS, SECOND  # callers' patience
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,7 @@
     cpu: bool = True
     memory: bool = True
     loss: str = ""
+    most_mb: float = 4000.0  # of memory; a run that takes more ends early
 
 
 @dataclass(slots=True, eq=False)
@@ -74,6 +78,9 @@
     at_work: bool = False
     work_ns: int = 0
     life: int = 0
+    upstream: Upstream | None = None  # of a junction
+    silent: set[str] = field(default_factory=set)  # gave no answer: a line must come up first
+    fed_ns: int = 0  # when news last came
 
 
 @dataclass(slots=True)
@@ -84,6 +91,14 @@
     forced_ns: dict[str, int] = field(default_factory=dict)  # by junction
 
 
+class Large(Exception):
+    """The run has taken more memory than it may."""
+
+
+def peak_mb() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
 class World:
     def __init__(self, asked: Asked, told: Callable[[str], None] = lambda line: None) -> None:
         self.asked, self.say = asked, told
@@ -98,6 +113,14 @@
         self.counting = False
         self.charge: dict[bool, tuple[float, float]] = {}  # by whether a table came: ns, bytes, of whole ones
         self.since_ns = self.until_ns = self.now
+        self.why = ""  # it ended early
+        self.down: set[str] = set()  # controllers without power
+        self.cut: set[int] = set()  # regions that only reach themselves
+        self.lost_ns = 0
+        self.restarted: set[str] = set()  # junctions that were started anew as a loss
+        self.unfed: set[str] = set()  # junctions whose signalbox was lost
+        self.lost: dict[str, str] = {}  # backends that ended without a word, and whom they called
+        self.seen: dict[str, float] = {}  # by junction: seconds until it knew of the loss
         self.boxes: list[tuple[Node, Signalbox]] = []
         self.whole: list[tuple[Node, Junction]] = []
         self.callers: list[tuple[Node, Caller]] = []
@@ -122,6 +145,8 @@
             self.work(node)
 
     def work(self, node: Node) -> None:
+        if node.name in self.down:
+            node.queue.clear()
         if not node.queue:
             node.at_work = False
             return
@@ -144,9 +169,12 @@
         while self.heap and self.heap[0][0] <= until_ns:
             self.now, _, act = heapq.heappop(self.heap)
             act()
-            if tell and time.monotonic() - shown > 2:
+            if time.monotonic() - shown > 2:
                 shown = time.monotonic()
-                self.say(f"{(until_ns - self.now) / SECOND:.1f} simulated seconds to go")
+                if tell:
+                    self.say(f"{(until_ns - self.now) / SECOND:.1f} simulated seconds to go")
+                if peak_mb() > self.asked.most_mb:
+                    raise Large
         self.now = until_ns
 
     def delay(self, one: str, other: str) -> int:
@@ -173,6 +201,7 @@
         cards = [box.members.me for _, box in self.boxes]
         for _, box in self.boxes:
             box.members.met(self.now, cards)
+        self.moved: dict[str, tuple[Node, Signalbox]] = {}
         self.lives: dict[str, tuple[str, str, str]] = {}  # by id: service, address, zone
         self.calls: Counter[str] = Counter()
         self.near: dict[str, list[str]] = {zone: [] for zone in self.zones}
@@ -192,7 +221,8 @@
                 if box is not other:
                     for piece in other.news.lacks(box.news.vector(), box.news.me):
                         box.news.take(self.now, piece)
-        self.chosen = {zone: self.upstream(zone) for zone in self.zones}
+        self.cards = {node.name: box.members.me for node, box in self.boxes}
+        self.by_host = {box.members.me.host: (node, box) for node, box in self.boxes}
         many = max(0, asked.controllers - asked.boxes)
         chosen = {k * many // max(1, asked.whole) for k in range(min(asked.whole, many))}
         for k in range(many):
@@ -201,7 +231,7 @@
     def junction(self, k: int, whole: bool) -> None:
         zone = self.zones[k % len(self.zones)]
         me = card(f"edge-{k}", f"10.{1 + k // 50000}.{k // 250 % 200}.{k % 250 + 1}", zone, False)
-        node = Node(me.name, zone, Meter())
+        node = Node(me.name, zone, Meter(), upstream=Upstream(zone))
         if whole:
             made = Junction(me, self.zones, lambda: self.now)
             made.meter = node.meter
@@ -236,7 +266,9 @@
         return next((n, b) for n, b in self.boxes if host and b.members.me.host == host[0])
 
     def box_of(self, ident: str) -> tuple[Node, Signalbox]:
-        """Where a backend beats: in its zone if a signalbox is there, else anywhere."""
+        """Where a backend beats: in its zone if a signalbox is there, else anywhere, until a beat fails."""
+        if ident in self.moved:
+            return self.moved[ident]
         zone = self.lives[ident][2]
         near = [pair for pair in self.boxes if pair[0].zone == zone]
         return near[0] if near else self.boxes[zlib.crc32(ident.encode()) % len(self.boxes)]
@@ -268,7 +300,8 @@
             self.at(start + self.phase(1.0), partial(self.box_second, node, box))
             for other, at in self.boxes:
                 if at is not box:
-                    self.at(start + self.phase(0.1), partial(self.box_pull, node, box, other, at, 0))
+                    pair = other, at
+                    self.at(start + self.phase(0.1), partial(self.box_pull, node, box, pair, 0))
         for node, made in self.whole:
             self.start_whole(node, made)
         for node, caller in self.callers:
@@ -278,6 +311,8 @@
         if self.asked.changes:
             gap = int(HOUR / self.asked.changes * SECOND)
             self.at(start + int(WARM_S * SECOND) + min(gap, SECOND // 2), partial(self.change, 2, gap))
+        if self.asked.loss:
+            self.at(start + int((WARM_S + 1) * SECOND), self.lose)
         if self.asked.churn:
             gap = int(HOUR / self.asked.churn * SECOND)
             self.at(start + int(WARM_S * SECOND) + min(gap, SECOND // 2), partial(self.churn, gap))
@@ -298,31 +333,83 @@
 
         self.give(node, act)
 
-    def box_pull(self, node: Node, box: Signalbox, other: Node, at: Signalbox, turn: int) -> None:
-        delay = self.delay(node.zone, other.zone)
+    def reach(self, one: str, other: str) -> bool:
+        """Whether bytes pass between two zones."""
+        a, b = (self.zones.index(z) // ZONES_A_REGION for z in (one, other))
+        return a == b or not {a, b} & self.cut
+
+    def call(
+        self,
+        node: Node,
+        pair: tuple[Node, Signalbox],
+        body: bytes,
+        took: Callable[[bytes, post.News], None],
+        failed: Callable[[], None],
+        wait_ns: int,
+    ) -> None:
+        """A pull: `took` is work of the asker, `failed` comes when its patience is over."""
+        other, at = pair
+        delay, life, over = self.delay(node.zone, other.zone), node.life, [False]
+
+        def up() -> bool:
+            return not self.down & {node.name, other.name} and self.reach(node.zone, other.zone)
+
+        def back(body: bytes, news: post.News) -> None:
+            self.send(delay, lambda: self.give(node, lambda: came(body, news)) if up() else None)
+
+        def came(body: bytes, news: post.News) -> None:
+            if not over[0] and node.life == life:
+                over[0] = True
+                node.silent.discard(other.name)
+                took(body, news)
+
+        def patience() -> None:
+            if not over[0] and node.life == life and node.name not in self.down:
+                over[0] = True
+                node.silent.add(other.name)
+                failed()
 
-        def took(body: bytes) -> None:
+        self.send(delay, lambda: self.give(other, lambda: at.pulled(body, back)) if up() else None)
+        self.send(CONNECT_NS if other.name in node.silent else wait_ns, patience)
+
+    def box_pull(self, node: Node, box: Signalbox, pair: tuple[Node, Signalbox], turn: int) -> None:
+        def took(body: bytes, news: post.News) -> None:
             box.take(body)
-            self.send(0, lambda: self.box_pull(node, box, other, at, turn + 1))
+            self.send(0, lambda: self.box_pull(node, box, pair, turn + 1))
 
-        def back(body: bytes, news: post.News) -> None:
-            self.send(delay, lambda: self.give(node, lambda: took(body)))
+        def failed() -> None:
+            if pair[1].members.me.host in box.members.view:
+                self.at(self.now + 200 * MS, lambda: self.box_pull(node, box, pair, turn))
+            else:  # its card is too old; one that comes back is met again
+                self.at(self.now + SECOND, failed)
 
         def act() -> None:
-            body = box.ask(turn % 5 == 0)
-            self.send(delay, lambda: self.give(other, lambda: at.pulled(body, back)))
+            self.call(node, pair, box.ask(turn % 5 == 0), took, failed, BOX_PULL_NS)
 
         self.give(node, act)
 
+    def at_box(self, node: Node) -> tuple[Node, Signalbox]:
+        """Where a junction pulls now. The cards of signalboxes that are lost go after a time."""
+        assert node.upstream is not None
+        gone = self.down if self.now - self.lost_ns > STALE_NS else set()
+        found = node.upstream.choose(self.now, [c for name, c in self.cards.items() if name not in gone], [])
+        return self.by_host[found[0] if found else ""]
+
+    def failed(self, node: Node, pair: tuple[Node, Signalbox]) -> None:
+        assert node.upstream is not None
+        node.upstream.failed(self.now, pair[1].members.me.host)
+
+    def fed(self, node: Node) -> None:
+        node.fed_ns = self.now
+        if node.name in self.unfed:
+            self.seen.setdefault(node.name, (self.now - self.lost_ns) / SECOND)
+
     def whole_pull(self, node: Node, made: Junction, life: int) -> None:
         if node.life != life:
             return
-        other, at = self.upstream(made.zone)
-        delay = self.delay(node.zone, other.zone)
+        pair = self.at_box(node)
 
         def took(body: bytes, news: post.News) -> None:
-            if node.life != life:
-                return
             made.take(body)
             table = news.table is not None
             spent, size = self.charge.get(table, (0.0, 0.0))
@@ -330,14 +417,16 @@
             version = made.table.version if made.table else 0
 
             def after() -> None:
+                self.fed(node)
                 if table:
                     self.forced(node, version)
                 self.whole_pull(node, made, life)
 
             self.send(0, after)
 
-        def back(body: bytes, news: post.News) -> None:
-            self.send(delay, lambda: self.give(node, lambda: took(body, news)))
+        def failed() -> None:
+            self.failed(node, pair)
+            self.at(self.now + 100 * MS, lambda: self.whole_pull(node, made, life))
 
         def act() -> None:
             for ident, *counts in (self.figures(made.zone) or [[]])[0]:
@@ -345,59 +434,63 @@
                 made.own.met[ident] = list(counts)
                 svc = self.lives[ident][0]
                 made.sums.asked[svc] = made.sums.asked.get(svc, 0) + counts[0]
-            body = made.ask()
-            self.send(delay, lambda: self.give(other, lambda: at.pulled(body, back)))
-
-        self.give(node, act)
-
-    def whole_second(self, node: Node, made: Junction, life: int) -> None:
-        def act() -> None:
-            if node.life == life:
-                made.second()
-                self.send(SECOND, lambda: self.whole_second(node, made, life))
-
-        self.give(node, act)
-
-    def whole_quarter(self, node: Node, made: Junction, life: int) -> None:
-        def act() -> None:
-            if node.life == life:
-                made.quarter()
-                self.send(SECOND // 4, lambda: self.whole_quarter(node, made, life))
+            self.call(node, pair, made.ask(), took, failed, PULL_NS)
 
         self.give(node, act)
 
     def caller_pull(self, node: Node, caller: Caller) -> None:
-        life = node.life
-        other, at = self.at_box(node.zone)
-        delay = self.delay(node.zone, other.zone)
+        pair = self.at_box(node)
 
         def took(body: bytes, news: post.News) -> None:
-            if node.life != life:
-                return
             caller.take(body, news)
             spent, size = self.charge.get(news.table is not None, (0.0, 0.0))
             wait = int(spent / size * len(body)) if size and self.asked.cpu else 0
 
             def after() -> None:
+                self.fed(node)
                 if news.table is not None:
                     self.forced(node, news.table[0])
                 self.caller_pull(node, caller)
 
             self.send(wait, after)
 
-        def back(body: bytes, news: post.News) -> None:
-            self.send(delay, lambda: self.give(node, lambda: took(body, news)))
+        def failed() -> None:
+            self.failed(node, pair)
+            self.at(self.now + 100 * MS, lambda: self.caller_pull(node, caller))
+
+        if node.name not in self.down:
+            body = caller.ask(1_764_000_000 + node.life + (self.now // SECOND))
+            self.call(node, pair, body, took, failed, PULL_NS)
+
+    def whole_second(self, node: Node, made: Junction, life: int) -> None:
+        def act() -> None:
+            if node.life == life:
+                made.second()
+                self.send(SECOND, lambda: self.whole_second(node, made, life))
 
-        body = caller.ask(1_764_000_000 + node.life + (self.now // SECOND))
-        self.send(delay, lambda: self.give(other, lambda: at.pulled(body, back)))
+        self.give(node, act)
+
+    def whole_quarter(self, node: Node, made: Junction, life: int) -> None:
+        def act() -> None:
+            if node.life == life:
+                made.quarter()
+                self.send(SECOND // 4, lambda: self.whole_quarter(node, made, life))
 
-    def at_box(self, zone: str) -> tuple[Node, Signalbox]:
-        return self.chosen[zone]
+        self.give(node, act)
 
-    def beats(self, ident: str, state: str = "up") -> None:
-        if ident not in self.lives:
+    def beats(self, ident: str, state: str = "up", again: bool = False) -> None:
+        if ident not in self.lives or ident in self.lost:
             return
         node, box = self.box_of(ident)
+        if state == "up" and not again:
+            self.at(self.now + BEAT_MS * MS, lambda: self.beats(ident))
+        zone = self.lives[ident][2]
+        if node.name in self.down or not self.reach(node.zone, zone):  # the next is called a second later
+            left = [p for p in self.boxes if p[0].name not in self.down and self.reach(p[0].zone, zone)]
+            if left:
+                self.moved[ident] = self.random.choice(left)
+                self.at(self.now + BEAT_NS, lambda: self.beats(ident, state, True))
+            return
         body, sent = self.beat_body(ident, state), self.now
 
         def acked() -> None:
@@ -405,8 +498,6 @@
                 self.send(0, lambda: self.drains.append((self.now - sent, 0)))
 
         self.send(IN_ZONE_NS, lambda: self.give(node, lambda: box.beat(ident, body, acked)))
-        if state == "up":
-            self.at(self.now + BEAT_MS * MS, lambda: self.beats(ident))
 
     # -- changes
 
@@ -462,6 +553,8 @@
         self.at(self.now + IN_ZONE_NS, lambda: self.give(node, received))
 
     def forced(self, node: Node, version: int) -> None:
+        if node.name in self.restarted:
+            self.seen.setdefault(node.name, (self.now - self.lost_ns) / SECOND)
         for one in self.changes:
             if one.version <= version:
                 one.forced_ns.setdefault(node.name, self.now)
@@ -473,21 +566,7 @@
         self.at(self.now + gap, partial(self.churn, gap))
         junctions = len(self.whole) + len(self.callers)
         if self.random.random() * (len(self.lives) + junctions) < junctions:
-            place = self.random.randrange(junctions)
-            if place < len(self.whole):
-                node, made = self.whole[place]
-                node.life += 1
-                me = card(node.name, made.members.me.host, node.zone, False, node.life)
-                fresh = Junction(me, self.zones, lambda: self.now)
-                fresh.meter = node.meter
-                self.whole[place] = node, fresh
-                self.start_whole(node, fresh)
-            else:
-                node, caller = self.callers[place - len(self.whole)]
-                node.life += 1
-                caller.me = card(node.name, caller.me.host, node.zone, False, node.life)
-                caller.vector, caller.version = {}, 0
-                self.caller_pull(node, caller)
+            self.restart(self.random.randrange(junctions))
             return
         ident = self.random.choice(list(self.lives))
         svc, addr, zone = self.lives[ident]
@@ -505,6 +584,73 @@
 
         self.at(self.now + DRAIN_NS, leave)
 
+    def restart(self, place: int) -> None:
+        """A junction of a new life, which knows nothing."""
+        if place < len(self.whole):
+            node, made = self.whole[place]
+            node.life += 1
+            me = card(node.name, made.members.me.host, node.zone, False, node.life)
+            fresh = Junction(me, self.zones, lambda: self.now)
+            fresh.meter = node.meter
+            self.whole[place] = node, fresh
+            self.start_whole(node, fresh)
+        else:
+            node, caller = self.callers[place - len(self.whole)]
+            node.life += 1
+            caller.me = card(node.name, caller.me.host, node.zone, False, node.life)
+            caller.vector, caller.version = {}, 0
+            self.caller_pull(node, caller)
+
+    # -- losses
+
+    def lose(self) -> None:
+        self.lost_ns = self.now
+        zone = self.zones[-1]
+        junctions = [n for n, _ in [*self.whole, *self.callers]]
+        here = [n for n in junctions if n.zone == zone]
+        backends = [i for i, (_, _, z) in self.lives.items() if z == zone]
+        match self.asked.loss:
+            case "backend":
+                self.end(backends[:1])
+            case "junction":
+                self.restart(junctions.index(here[0]))
+            case "box":
+                lost = self.boxes[-1][0]
+                self.unfed = {n.name for n in junctions if self.at_box(n)[0] is lost}
+                self.down.add(lost.name)
+            case "rack":
+                many = RACK * len(here) // max(1, len(here) + len(backends))
+                self.down.update(n.name for n in here[::-1][:many])
+                self.end(backends[: RACK - many])
+            case "zone":
+                self.down.update(n.name for n in [*here, *(n for n, _ in self.boxes)] if n.zone == zone)
+                self.end(backends)
+            case "region":
+                self.cut.add((len(self.zones) - 1) // ZONES_A_REGION)
+                self.unfed = {n.name for n in junctions if not self.reach(n.zone, self.at_box(n)[0].zone)}
+                self.at(self.now + int(self.asked.seconds * SECOND / 2), self.cut.clear)
+            case "start":
+                for node in here:
+                    self.restart(junctions.index(node))
+        if self.asked.loss in ("start", "junction"):
+            self.restarted = {n.name for n in (here if self.asked.loss == "start" else here[:1])}
+        self.look()
+
+    def end(self, idents: list[str]) -> None:
+        """Backends that end without a word."""
+        for ident in idents:
+            self.lost[ident] = self.box_of(ident)[0].name
+            self.near[self.lives[ident][2]].remove(ident)
+
+    def look(self) -> None:
+        """Which of the whole junctions know of all that was lost; seen every twentieth of a second."""
+        for node, made in self.whole:
+            if self.lost and node.name not in self.down and node.name not in self.seen:
+                known = (made.lives.known.get(ident) for ident in self.lost)
+                if all(one is None or one.state != "up" for one in known):
+                    self.seen[node.name] = (self.now - self.lost_ns) / SECOND
+        self.at(self.now + SECOND // 20, self.look)
+
     # -- what came of it
 
     def play(self) -> bool:
@@ -525,13 +671,15 @@
                     if all(self.complete(c) for c in self.changes if c.sent_ns < self.counted_until()):
                         break
                     self.run(self.now + SECOND, True)
-            return True
         except KeyboardInterrupt:
-            return False
+            self.why = "ended by hand"
+        except Large:
+            self.why = f"it took more than {self.asked.most_mb:g} MB"
         finally:
             self.until_ns = self.now
             gc.enable()
             gc.unfreeze()
+        return not self.why
 
     def counted_until(self) -> int:
         return self.since_ns + int(self.asked.seconds * SECOND)
@@ -547,6 +695,7 @@
         found: dict[str, Any] = {
             "asked": asdict(self.asked),
             "complete": complete,
+            "why": self.why,
             "counted_s": seconds,
             "roles": {
                 "junction": self.role(whole, [*whole, *(n for n, _ in self.callers)], seconds),
@@ -554,16 +703,28 @@
             },
             "configuration": {"bytes": len(content), "compressed": len(zlib.compress(content, 6))},
             "changes": [self.told(one, junctions) for one in self.changes],
-            "loss": {},
+            "loss": self.loss(),
             "drain_ack_s": quantiles([ns / SECOND for ns, _ in self.drains]),
         }
         found["start"], found["memory"] = self.start()
         found["process"] = {
-            "peak_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+            "peak_mb": peak_mb(),
             "processes": 1,
         }
         return found
 
+    def loss(self) -> dict[str, Any]:
+        """Seconds until it was known, or news came again: of the whole junctions, or of all."""
+        if not self.asked.loss:
+            return {}
+        after = (self.until_ns - self.lost_ns) / SECOND
+        return {
+            "kind": self.asked.loss, "controllers lost": len(self.down), "backends lost": len(self.lost),
+            "junctions concerned": len(self.unfed | self.restarted),
+            "lives that beat elsewhere": len(self.moved), "followed for_s": after,
+            "known_s": quantiles(list(self.seen.values())),
+        }
+
     def told(self, one: Change, junctions: int) -> dict[str, Any]:
         since = sorted((ns - one.acked_ns) / SECOND for ns in one.forced_ns.values()) if one.acked_ns else []
         found = {"ack_s": (one.acked_ns - one.sent_ns) / SECOND if one.acked_ns else None}
@@ -684,9 +845,23 @@
 
 
 def measure(asked: Asked, told: Callable[[str], None] = lambda line: None) -> dict[str, Any]:
+    """Plays once; with a loss, a second time without it, for what it cost more."""
     began = time.monotonic()
     world = World(asked, told)
     complete = world.play()
     found = world.result(complete)
+    if asked.loss and complete:
+        calm = World(replace(asked, loss="", memory=False), told)
+        found["complete"] = calm.play()
+        found["loss"]["more"] = more(found["roles"], calm.result(True)["roles"])
     found["process"]["took_s"] = time.monotonic() - began
     return found
+
+
+def more(one: dict[str, Any], other: dict[str, Any]) -> dict[str, float]:
+    """What the controllers of each role took beyond those of another run, all together, a second."""
+    return {
+        f"{who} {what}": (one[who][what] - other[who][what]) * one[who]["controllers"]
+        for who in one
+        for what in ("in_bytes_s", "out_bytes_s", "out_messages_s", "processor_ms_s")
+    }
--- a/meadowworks/lab/series.py
+++ b/meadowworks/lab/series.py
@@ -22,7 +22,19 @@
     "churn": (0, 360, 1200, 3600, 12000, 36000),
     "boxes": (3, 5, 7, 9),
     "zones": (4, 8, 16, 24),
+    "target": (0.003, 0.01, 0.03, 0.1),
 }
+TARGET = {  # the users' letter; changes and churn of a day as an hour's
+    "controllers": 3300,
+    "backends": 28000,
+    "services": 1800,
+    "routes": 52000,
+    "changes": 92.0,
+    "churn": 324.0,
+    "boxes": 9,
+    "zones": 24,
+}
+SIZES = ("controllers", "backends", "services", "routes")
 WHOLE = ("seed", "boxes", "zones", "controllers", "backends", "services", "routes", "whole")
 
 
@@ -33,6 +45,13 @@
 
 
 def point(asked: Asked, axis: str, value: float) -> Asked:
+    """The deployment with one of its sizes changed; along `target`, with a part of each of the target's, in
+    its zones and under its signalboxes."""
+    if axis == "target":
+        parts: dict[str, Any] = {
+            name: max(1, round(size * value)) for name, size in TARGET.items() if name in SIZES
+        }
+        return replace(asked, **parts, boxes=int(TARGET["boxes"]), zones=int(TARGET["zones"]))
     changed: dict[str, Any] = {axis: int(value) if axis in WHOLE else value}
     return replace(asked, **changed)
 
@@ -43,12 +62,12 @@
         if isinstance(value, bool):
             found.append(f"--{name}" if value else f"--no-{name}")
         elif value != "":
-            found += [f"--{name}", str(value)]
+            found += [f"--{name.replace('_', '-')}", str(value)]
     return found
 
 
 def play(wanted: list[Asked], processes: int, told: Callable[[str], None]) -> Iterator[dict[str, Any]]:
-    """Results as they come. At Ctrl-C the children, which get it too, tell what they have; it goes on up."""
+    """Results as they come. At Ctrl-C the children, which get it too, tell what they have."""
     left, running = list(wanted), list[Child]()
     try:
         while left or running:
