--- a/meadowworks/lab/hollow.py
+++ b/meadowworks/lab/hollow.py
@@ -104,6 +104,7 @@
         self.summed_ns, self.pulse, self.turns = clock(), 0, 0
         self.drains: dict[int, Callable[[], None]] = {}  # acknowledgements that wait, by version of the news
         self.others = 1  # that must hold a drain
+        self.held_by: dict[str, int] = {}  # by another signalbox: the version of this one's news that it has
 
     # -- what wakes a pull
 
@@ -132,8 +133,8 @@
 
         def note() -> None:
             self.members.met(self.now(), [pull.me, *pull.cards])
-            self.news.asked(pull.me.host, pull.vector)
             if pull.me.voting:
+                self.held_by[pull.me.host] = pull.vector.get(self.news.me, -1)
                 self.kept()
             if pull.figures:
                 self.sums.setdefault(pull.me.zone, Sums()).add(pull.figures)
@@ -188,8 +189,8 @@
         self.called(body, self.meter.timed("a beat", act), acked)
 
     def leave(self, ident: str, acked: Callable[[], None]) -> None:
-        version = self.meter.timed("a beat", lambda: self.beats.leave(self.now(), ident).version)
-        self.called(b"{}", version, acked)
+        found = self.meter.timed("a beat", lambda: self.beats.leave(self.now(), ident))
+        self.called(b"{}", getattr(found, "version", 0), acked)
 
     def called(self, body: bytes, version: int, acked: Callable[[], None]) -> None:
         self.meter.came(len(body))
@@ -202,9 +203,8 @@
 
     def kept(self) -> None:
         """Acknowledges the drains and leaves that enough others hold."""
-        hosts = {c.host for c in self.members.voters()} if self.drains else set()
         for version in list(self.drains):
-            if len(self.news.holders(version) & hosts) >= self.others:
+            if sum(held >= version for held in self.held_by.values()) >= self.others:
                 self.drains.pop(version)()
 
     # -- pulls of others' news
--- a/meadowworks/lab/scale.py
+++ b/meadowworks/lab/scale.py
@@ -706,6 +706,7 @@
             "loss": self.loss(),
             "drain_ack_s": quantiles([ns / SECOND for ns, _ in self.drains]),
         }
+        found["held"] = self.held()
         found["start"], found["memory"] = self.start()
         found["process"] = {
             "peak_mb": peak_mb(),
@@ -713,6 +714,25 @@
         }
         return found
 
+    def held(self) -> dict[str, Any]:
+        """At the signalboxes: connections (junctions and signalboxes that pull there, pulls of its own,
+        backends that call), bytes of lives on the disk, bytes of a vector, sources of news."""
+        most: Counter[str] = Counter()
+        for node, _ in [*self.whole, *self.callers]:
+            most[self.at_box(node)[0].name] += 1
+        for ident in self.lives:
+            most[self.box_of(ident)[0].name] += 1
+        for node, _ in self.boxes:
+            most[node.name] += 2 * (len(self.boxes) - 1)
+        packed = [box.packed() for _, box in self.boxes]
+        return {
+            "connections": sum(most.values()) / len(self.boxes),
+            "connections_most": max(most.values()),
+            "disk_lives_bytes": sum(len(i) + len(v) for one in packed for i, v in one.items()) / len(packed),
+            "vector_bytes": len(post.pack(self.boxes[0][1].news.vector())),
+            "sources": len(self.boxes[0][1].news.sources),
+        }
+
     def loss(self) -> dict[str, Any]:
         """Seconds until it was known, or news came again: of the whole junctions, or of all."""
         if not self.asked.loss:
@@ -773,11 +793,9 @@
             made = Signalbox(me, BEAT_MS, lambda: self.now, lambda wait, act: None)
             whole = post.News(at.members.me, (), tuple(at.news.lacks({}, me.life)), True, at.held).pack()
             made.take(whole)
-            for ident in at.beats.lives:
+            for ident in list(at.beats.lives):
                 if ident in self.lives:
                     made.beats.beat(self.now, ident, json.loads(self.beat_body(ident)))
-            for host, vector in at.news.held.items():
-                made.news.asked(host, post.unpack(post.pack(vector)))
             for name, sums in at.sums.items():
                 made.sums.setdefault(name, Sums()).add(sums.pack())
             return made
