lab report: parts of the target, what processor time consists of, by fit and by power

Cause: products of two sizes (junctions times backends) bend; a straight fit misses them. Change: the axis target is told by its parts; each row carries the line's and the power's figure at the target; the largest parts follow each table.

--- a/meadowworks/lab/commands.py
+++ b/meadowworks/lab/commands.py
@@ -127,7 +127,7 @@
 
 def plain(found: dict[str, Any]) -> str:
     asked = found["asked"]
-    lines = [", ".join(f"{name} {asked[name]:g}" for name in series.TARGET)
+    lines = [", ".join(f"{name} {asked[name]:g}" for name in series.TARGET if name in asked)
              + ("" if found["complete"] else f" (not to its end: {found['why']})")]
     for name, role in found["roles"].items():
         if role:
--- a/meadowworks/lab/report.py
+++ b/meadowworks/lab/report.py
@@ -9,9 +9,9 @@
 from statistics import mean
 from typing import Any
 
-from meadowworks.lab.series import TARGET
+from meadowworks.lab.series import SIZES, TARGET
 
-AXES = tuple(TARGET)
+AXES = tuple(name for name in TARGET if name != "target")
 Pick = Callable[[dict[str, Any]], float | None]
 
 
@@ -97,9 +97,23 @@
     return sum((x - mx) * (y - my) for x, y in upper) / spread if spread else 0.0
 
 
+def part_of_target(found: dict[str, Any]) -> float:
+    """Which part of the target's every size was played; 0 if they are no such parts."""
+    asked = found["asked"]
+    part: float = round(asked["backends"] / TARGET["backends"], 3)
+    fits = all(asked[name] == max(1, round(TARGET[name] * part)) for name in SIZES)
+    return part if fits and asked["zones"] == TARGET["zones"] else 0.0
+
+
+def place(found: dict[str, Any], axis: str) -> float:
+    return part_of_target(found) if axis == "target" else float(found["asked"][axis])
+
+
 def axis_of(results: Iterable[dict[str, Any]]) -> dict[str, list[dict[str, Any]]]:
     """Results by the axis along which they differ from the most usual of the file's values."""
     results = [r for r in results if r["complete"] and not r["loss"]]
+    if parts := [r for r in results if part_of_target(r)]:
+        return {"target": parts, **axis_of(r for r in results if not part_of_target(r))}
     usual: dict[str, Any] = {}
     for name in AXES:
         values = [r["asked"][name] for r in results]
@@ -117,30 +131,55 @@
     text, pictures = [], []
     for axis, rows in axis_of(results).items():
         text += ["", f"### {axis}", ""]
-        xs = sorted({r["asked"][axis] for r in rows})
+        xs = sorted({place(r, axis) for r in rows})
         head = [f"{x:g}" for x in xs]
-        text += ["| | " + " | ".join(head) + " | fit | off by | power | at " + f"{TARGET[axis]:g} |",
-                 "|" + "---|" * (len(head) + 5)]
+        end = f"{TARGET[axis]:g}"
+        text += [
+            "| | " + " | ".join(head) + f" | fit | off by | power | at {end} by the fit | by the power |",
+            "|" + "---|" * (len(head) + 6),
+        ]
         pictures.append(f"<h2>{axis}</h2>")
         for figure in FIGURES:
-            points = [(float(r["asked"][axis]), y) for r in rows if (y := figure.pick(r)) is not None]
+            points = [(place(r, axis), y) for r in rows if (y := figure.pick(r)) is not None]
             if len({x for x, _ in points}) < 2:
                 continue
             cells = [cell([y for x, y in points if x == at]) for at in xs]
             found = fit(points)
-            tail = ["", "", "", ""]
+            tail = [""] * 5
             if found:
                 mark = "" if max(xs) >= TARGET[axis] else " x"
-                tail = [f"{short(found.base)} + {short(found.slope)} n", f"{found.off:.0%}",
-                        f"{found.power:.2f}", short(found.at(TARGET[axis])) + mark]
+                last = mean(y for x, y in points if x == max(xs))
+                by_power = last * (TARGET[axis] / max(xs)) ** found.power
+                tail = [
+                    f"{short(found.base)} + {short(found.slope)} n",
+                    f"{found.off:.0%}",
+                    f"{found.power:.2f}",
+                    short(found.at(TARGET[axis])) + mark,
+                    short(by_power) + mark,
+                ]
             text.append(f"| {figure.name}, {figure.unit} | " + " | ".join([*cells, *tail]) + " |")
             pictures.append(plot(f"{figure.name}, {figure.unit}", axis, points, found, figure.budget))
+        text += ["", *parts_of([r for r in rows if place(r, axis) == max(xs)], max(xs))]
     page = "<!doctype html><meta charset=utf-8><title>lab scale</title>" \
         "<style>body{font:14px sans-serif;margin:2em}svg{margin:4px}</style>" \
         "<h1>Measured points, fit and budget</h1><p>Dots: runs. Line: base + slope n. Dashed: the budget.</p>"
     return "\n".join(text).strip(), page + "\n".join(pictures)
 
 
+def parts_of(rows: list[dict[str, Any]], at: float) -> list[str]:
+    """What each role's processor time consists of, the largest first."""
+    lines = []
+    for who in ("junction", "signalbox"):
+        names: dict[str, list[float]] = {}
+        for found in rows:
+            for part, ms in found["roles"][who]["parts_ms_s"].items():
+                names.setdefault(part, []).append(ms)
+        most = sorted(((mean(values), name) for name, values in names.items()), reverse=True)[:5]
+        named = ", ".join(f"{name} {short(ms)}" for ms, name in most)
+        lines.append(f"At {at:g} a {who}'s: {named} ms/s.")
+    return lines
+
+
 def short(value: float) -> str:
     return f"{value:.3g}" if abs(value) < 1000 else f"{value:,.0f}"
 
@@ -168,28 +207,28 @@
     low_x, top_x = math.log10(min(xs)) - 0.05, math.log10(max(xs)) + 0.05
     low_y, top_y = math.log10(min(ys)) - 0.1, math.log10(max(ys)) + 0.1
 
-    def place(x: float, y: float) -> tuple[float, float]:
+    def spot(x: float, y: float) -> tuple[float, float]:
         return (50 + (math.log10(x) - low_x) / (top_x - low_x) * (wide - 60),
                 high - 30 - (math.log10(y) - low_y) / (top_y - low_y) * (high - 60))
 
     marks = []
     for k in range(math.ceil(low_x), math.floor(top_x) + 1):
-        at = place(10.0**k, 10**low_y)
+        at = spot(10.0**k, 10**low_y)
         marks.append(f'<text x="{at[0]:.0f}" y="{high - 14}" text-anchor="middle">{10.0**k:g}</text>'
                      f'<path d="M{at[0]:.0f} 30V{high - 30}" stroke="#ddd"/>')
     for k in range(math.ceil(low_y), math.floor(top_y) + 1):
-        at = place(10**low_x, 10.0**k)
+        at = spot(10**low_x, 10.0**k)
         marks.append(f'<text x="46" y="{at[1] + 4:.0f}" text-anchor="end">{10.0**k:g}</text>'
                      f'<path d="M50 {at[1]:.0f}H{wide - 10}" stroke="#ddd"/>')
     if found:
         steps = [10 ** (low_x + (math.log10(max(xs)) - low_x) * k / 40) for k in range(41)]
-        way = [place(x, found.at(x)) for x in steps if found.at(x) > 0 and math.log10(found.at(x)) >= low_y]
+        way = [spot(x, found.at(x)) for x in steps if found.at(x) > 0 and math.log10(found.at(x)) >= low_y]
         marks.append('<polyline fill="none" stroke="#27c" points="'
                      + " ".join(f"{x:.1f},{y:.1f}" for x, y in way) + '"/>')
     if budget:
-        y = place(xs[0], budget)[1]
+        y = spot(xs[0], budget)[1]
         marks.append(f'<path d="M50 {y:.1f}H{wide - 10}" stroke="#c33" stroke-dasharray="5 4"/>')
-    marks += [f'<circle cx="{place(x, y)[0]:.1f}" cy="{place(x, y)[1]:.1f}" r="3"/>' for x, y in points]
+    marks += [f'<circle cx="{spot(x, y)[0]:.1f}" cy="{spot(x, y)[1]:.1f}" r="3"/>' for x, y in points]
     return (f'<svg xmlns="http://www.w3.org/2000/svg" width="{wide}" height="{high}" font-size="11" '
             f'font-family="sans-serif"><text x="50" y="18" font-size="13">{escape(title)} by {axis}</text>'
             + "".join(marks) + "</svg>")
--- a/meadowworks/lab/series.py
+++ b/meadowworks/lab/series.py
@@ -33,6 +33,7 @@
     "churn": 324.0,
     "boxes": 9,
     "zones": 24,
+    "target": 1,
 }
 SIZES = ("controllers", "backends", "services", "routes")
 WHOLE = ("seed", "boxes", "zones", "controllers", "backends", "services", "routes", "whole")
