--- a/meadowworks/signalbox/program.py
+++ b/meadowworks/signalbox/program.py
@@ -253,7 +253,6 @@
                 for piece in news.pieces:
                     self.news.take(now, piece)
                 source = news.me.life
-                await self.fencing.until(partial(self.fences.level, source), SYNC_S)
                 replica, now = self.office.replica, now_ns()
                 if news.epoch is not None:
                     replica.told(now, news.epoch)
@@ -264,6 +263,7 @@
                 self.office.pump()
                 if self.sure() and not sure:
                     self.ring()  # whoever waits for a table may have it now
+                await self.fencing.until(partial(self.fences.level, source), SYNC_S)
         finally:
             self.pulling.discard((host, port))
 
