lab scale: a pull whose caller has hung up is not read

Cause: at 52,000 routes a signalbox is at work for seconds; pulls that were given up meanwhile were answered all the same, at 0.2 s each, and no change came into force. uvicorn sees a closed line before it reads the request. Change: World.call drops a pull whose patience was over before it is read.

--- a/meadowworks/lab/scale.py
+++ b/meadowworks/lab/scale.py
@@ -369,7 +369,11 @@
                 node.silent.add(other.name)
                 failed()
 
-        self.send(delay, lambda: self.give(other, lambda: at.pulled(body, back)) if up() else None)
+        def arrived() -> None:
+            if not over[0]:  # a line that was closed meanwhile is seen before its request is read
+                at.pulled(body, back)
+
+        self.send(delay, lambda: self.give(other, arrived) if up() else None)
         self.send(CONNECT_NS if other.name in node.silent else wait_ns, patience)
 
     def box_pull(self, node: Node, box: Signalbox, pair: tuple[Node, Signalbox], turn: int) -> None:
