A junction without a table asks one after another in short turns

Change: without a table a question is never held back at its holder, and a connection has 0.1 s; the pause grows from 0.03 to 0.3 s.

--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -42,6 +42,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 PULL_MS, PULL_S = 1000, 1.6
 FIRST_S = 0.1  # that the first reply is waited for, and twice as long each time: who has power again is asked
+PAUSE_S, PAUSE_MOST_S = 0.02, 0.3  # between two questions while there is no table
 TABLE_MOST = 64 << 20  # bytes of a configuration
 POLLS_S = 2.3  # that connections may still come for after readyz says no: two polls a second apart
 TICK_S = 0.25  # the controllers' own turns come every half second
@@ -73,7 +74,7 @@
         self.picture = Picture()
         self.born_ns = now_ns()
         self.listed_ns = 0  # when the first list was taken as one to serve by
-        self.turn, self.hold_ms, self.wait_s = 0, PULL_MS, FIRST_S
+        self.turn, self.hold_ms, self.wait_s, self.pause_s = 0, PULL_MS, FIRST_S, PAUSE_S
         self.ready = self.leaving = False
         self.random = random.Random()
         self.counts: dict[str, int] = {}
@@ -201,7 +202,7 @@
             self.upstream.failed(now_ns(), at[0])
             self.hold_ms = 0  # the picture has grown old: the next reply is wanted at once
             self.wait_s = min(PULL_S, self.wait_s * 2)
-            await asyncio.sleep(0.1 if self.table else 0.02)
+            await asyncio.sleep(0.1 if self.table else self.pause())
             return
         self.turn, self.wait_s, now = self.turn + 1, PULL_S, now_ns()
         self.members.met(now, [news.me, *news.cards])
@@ -213,13 +214,19 @@
         if not news.sure:
             # Guards against one that is cut off from the others and goes on telling what is old.
             self.upstream.failed(now, at[0])
-            self.hold_ms = 0 if self.hold_ms else PULL_MS
-            await asyncio.sleep(0.05)
+            self.hold_ms = 0 if self.hold_ms or self.table is None else PULL_MS
+            self.wait_s = PULL_S if self.table else FIRST_S
+            await asyncio.sleep(0.05 if self.table else self.pause())
         else:
             self.hold_ms = PULL_MS
         self.picture.told(asked_ns, news.sure)
         self.settle(now)
 
+    def pause(self) -> float:
+        """Seconds until a junction without a table asks again: longer each time."""
+        self.pause_s = min(PAUSE_MOST_S, self.pause_s * 1.5)
+        return self.pause_s
+
     def unpacked(self, packed: bytes) -> Steps[Timetable]:
         body = yield from inflating(packed, TABLE_MOST)
         return (yield from loading(body))
