A leaver ends when the epoch without it has a majority installed, and not at the first word of it

Cause: a leave job whose Change heard Newer from one disk that another proposer had installed took the epoch as in force and ended; with four members, one installed and two sealed, the loss of that one machine then leaves the other two for ever short of a seal of three. Change: Replica ends a leave only after a Reader of the newest epoch has found a majority of its members voting; the model does the same and says when it ended too early. Scenes added: a leaver of four, three become one, numbers from before, a register anew, founding too early and with a wiped disk; properties voters alone, founding, tidy.

--- a/meadowworks/check/models/timetable.py
+++ b/meadowworks/check/models/timetable.py
@@ -53,7 +53,8 @@
 
 Members = tuple[tuple[str, str], ...]
 Op = Proposer | Change | Reader | Teacher
-BEGUN = Ballot(1, 1, "b.0")
+BEGUN, BEFORE = Ballot(1, 1, "b.0"), Ballot(0, 9, "a.0")
+X, Y = b"x", b"y"
 NOBODY: frozenset[frozenset[int]] = frozenset()
 
 
@@ -86,6 +87,7 @@
     after: Members = ()  # chosen already as those of epoch 2, by `b`, with `a`; nothing is sealed yet
     sealed: tuple[int, ...] = ()  # places that are sealed by it, and have it installed, as the scene begins
     joined: tuple[int, ...] = ()
+    old: tuple[int, ...] = ()  # places that have accepted X as version 1, under a high number before epoch 1
     founding: bool = False
     wiped: tuple[int, ...] = ()  # places whose disk may be replaced by an empty one, once
     gone: tuple[int, ...] = ()  # places whose machine and disk may be lost for good, once
@@ -194,7 +196,7 @@
             return False  # before the cut, as in the scenes without one
         if want.kind in ("put", "finish") and want.version <= self.kept[want.home][8][0]:
             return False
-        return bool(newest > 0)
+        return bool(newest >= 0)
 
     @staticmethod
     def may_bring(one: Any, other: Any) -> bool:
@@ -243,8 +245,10 @@
         elif want.kind == "carry":
             assert home.sealed is not None
             self.put(p, Change(home.epoch, home.sealed))
-        elif want.kind == "members" and home.sealed is None:
-            content = pack_members(want.members) if want.members else None
+        elif want.kind == "members" or want.kind == "leave" and len(epoch.members) > 3:
+            others = tuple((d, a) for d, a in epoch.members if d != home.disk)
+            which = others if want.kind == "leave" else want.members
+            content = pack_members(which) if which else None
             if content is not None:
                 self.tried = tuple(sorted({*self.tried, (epoch.number, content)}))
             self.put(p, self.proposer(want.home, epoch, MEMBERSHIP, content))
@@ -320,12 +324,17 @@
                 home.told(epoch)
                 if want.kind == "members" and isinstance(op, Change):
                     self.tries[p] = 0
-                if want.kind == "leave" and not epoch.has(home.disk):
-                    self.leaves(p, want.home)
+                if want.kind == "leave":
+                    return self.put(p, Reader(home.newest()))
             case Read(needs, version, address):
                 if want.kind == "read":
                     self.did.append(("read", floor, needs))
                     self.tries[p] = 0
+                elif not op.epoch.has(home.disk):
+                    there = [kept for kept in self.kept if kept and kept[6] and op.epoch.has(kept[0])]
+                    count = sum(kept[5][0] >= op.epoch.number for kept in there)
+                    self.did.append(("handed", floor, count, op.epoch.majority))
+                    self.leaves(p, want.home)
                 elif isinstance(op, Teacher):
                     least = min(op.epoch.majority, len(op.others))
                     self.did.append(("handed", floor, self.knowing(floor, op), least))
@@ -375,9 +384,9 @@
         left = [*self.late[:place], *([(request, rest)] if rest else []), *self.late[place + 1 :]]
         self.late = tuple(sorted(left))
         other, asked = self.at(k), thaw_request(request)
-        newest = other.newest().number
+        newest, votes = other.newest().number, voter(other, asked.epoch)
         if isinstance(other.answer(asked), Promised | Accepted):
-            self.did.append(("took", asked.epoch, newest))
+            self.did.append(("took", asked.epoch, newest, votes))
 
     def do_wipe(self, k: int) -> None:
         """What its process was at goes with it. It is told that this is not the first start."""
@@ -386,8 +395,9 @@
         self.end_ops(k)
         self.numbers[k] = 0
         name = self.at(k).disk[0] + "2"
+        seeds = tuple(address for _, address in self.scene.members)
         self.made[k] = start(
-            acceptor_for(None, disk=name, address=str(k), seeds=(), bootstrap=False, voting=True)
+            acceptor_for(None, disk=name, address=str(k), seeds=seeds, bootstrap=False, voting=True)
         )
 
     def do_gone(self, k: int) -> None:
@@ -468,15 +478,21 @@
     op, one = thaw_op(kept), acceptor(other)
     assert op is not None
     request = op.request()
-    newest = one.newest().number
+    newest, votes = one.newest().number, voter(one, request.epoch)
     reply = one.answer(request)
-    took = ("took", request.epoch, newest) if isinstance(reply, Promised | Accepted) else None
+    took = ("took", request.epoch, newest, votes) if isinstance(reply, Promised | Accepted) else None
     op.heard(one.name(request.epoch), reply)
     newer = reply.epoch if isinstance(reply, Newer) else None
     same = flat_acceptor(one)
     return other if same == other else same, flat_op(op, kept[-1]), op.outcome, newer, took
 
 
+def voter(one: Acceptor, epoch: int) -> bool:
+    """Whether it is to vote in an epoch, and is ready to."""
+    there = one.installed and one.sealed is None and one.wants and one.epoch.number == epoch
+    return there and any(disk == one.name(epoch) for disk, _ in one.epoch.members)
+
+
 def first(scene: Scene, k: int) -> Acceptor:
     """An acceptor as it is when the scene begins."""
     disk = chr(ord("a") + k)
@@ -487,6 +503,8 @@
         made.epoch, made.installed = epoch_of(1, scene.members), True
         if scene.after and disk in "ab":
             made.slots[MEMBERSHIP] = Slot(BEGUN, BEGUN, pack_members(scene.after))
+        if k in scene.old:
+            made.slots[1] = Slot(BEFORE, BEFORE, X)
         if k in scene.sealed:
             made.sealed = epoch_of(2, scene.after)
     if k in scene.joined:
@@ -772,7 +790,7 @@
 
 
 def forward(was: Any, now: Any) -> bool:
-    if now[4] < was[4] or now[5][0] < was[5][0]:
+    if now[4] < was[4] or now[5][0] < was[5][0] or now[4] == was[4] and now[11][0] < was[11][0]:
         return False
     if now[8] != was[8] and now[8][0] <= was[8][0]:
         return False
@@ -787,7 +805,26 @@
 
 
 def newer_deaf(world: World) -> bool:
-    return all(epoch >= newest for kind, epoch, newest, *_ in world.did if kind == "took")
+    return all(row[1] >= row[2] for row in world.did if row[0] == "took") and all(
+        now[5] == was[5] or now[5][0] >= was[11][0] for kind, was, now, *_ in world.did if kind == "kept"
+    )
+
+
+def voters_alone(world: World) -> bool:
+    return all(row[3] for row in world.did if row[0] == "took")
+
+
+def founding(world: World) -> bool:
+    return all(epoch > 0 or version == MEMBERSHIP for epoch, version, _ in world.chosen)
+
+
+def tidy(world: World) -> bool:
+    return all(
+        version == MEMBERSHIP or version > kept[8][0]
+        for kept in world.kept
+        if kept is not None
+        for version, *_ in kept[10]
+    )
 
 
 def not_old(world: World) -> bool:
@@ -827,10 +864,18 @@
     ),
     Property(
         "newer deaf to older",
-        "who has heard of an epoch promises and accepts in none before it",
+        "who has heard of an epoch promises and accepts in none before it, nor becomes a member of one",
         newer_deaf,
         "step",
     ),
+    Property(
+        "voters alone",
+        "who promises or accepts in an epoch is a member installed in it, not sealed, and is to vote",
+        voters_alone,
+        "step",
+    ),
+    Property("founding", "in epoch 0 nothing but the members of the next is chosen", founding),
+    Property("tidy", "a disk keeps nothing undecided of a version not above the one it holds", tidy),
     Property(
         "not old",
         "a reader is told of whatever was acknowledged before its first question left",
@@ -839,7 +884,8 @@
     ),
     Property(
         "handed over",
-        "what a leaver knows of as acknowledged is on a majority of the others' disks when it ends",
+        "what a leaver knows of as acknowledged is on a majority of the others' disks when it ends, or the "
+        "epoch without it has a majority installed",
         handed_over,
         "step",
     ),
@@ -876,10 +922,10 @@
     raise ValueError(f"no such step: {step!r}")
 
 
-ABC, ABCD, BCD, ABD, CDE, WIPED = (
-    disks(*names) for names in ("abc", "abcd", "bcd", "abd", "cde", ("a", "b", "c2"))
+A, AB, ABC, ABCD, ABCDE, BCD, ABD, CDE = (
+    disks(*names) for names in ("a", "ab", "abc", "abcd", "abcde", "bcd", "abd", "cde")
 )
-X, Y = b"x", b"y"
+WIPED = disks("a", "b", "c2")
 
 
 def put(home: int, content: bytes = X, version: int = 1, epoch: int = -1) -> Want:
@@ -893,6 +939,8 @@
 def starts(large: bool, known: Known) -> list[World]:
     race, change = (put(0, X), put(1, Y)), Want(1, "change")
     two, one = apart((0, 2), (1, 3)), apart((0,), (1, 2, 3))
+    one_set, other_set, carry = members(0, ABC, 0), members(1, AB, 0), Want(0, "carry")
+    read, old = Want(1, "read"), put(1, X, 1, 2)
     scenes = [
         Scene("begun anew", race, (2, 1)),
         Scene("two versions", (put(0, X, 1), put(1, Y, 2)), (1, 1), spread=True),
@@ -900,26 +948,43 @@
         Scene("a bystander's disk is replaced", race, (1, 1), wiped=(2,)),
         Scene("five disks", (put(0),), (1,), 5, disks(*"abcde"), wiped=(4,), lost=True),
         Scene("power is lost", race, (2, 1), crashes=(0,)),
-        Scene("founding", (members(0, ABC, 0), members(1, disks("a", "b"), 0)), (1, 1), founding=True),
+        Scene("held up", race, (1, 1), late=True),
+        Scene("a reader", (put(0), read), (1, 1)),
+        Scene("two versions are read", (put(0), put(1, Y, 2), Want(2, "read")), (1, 1, 1)),
+        Scene("a leaver", (put(0), Want(2, "leave")), (1, 1)),
+        Scene("a leaver of four", (put(0), Want(3, "leave")), (1, 1), 4, ABCD),
+        Scene("founding, a disk is wiped", (one_set, other_set), (1, 1), wiped=(2,), founding=True),
+        Scene("founding, too early", (members(0, ABC), put(1)), (1, 1), founding=True),
         Scene("one comes in", (change, put(0)), (1, 1), 4, after=ABCD),
         Scene("one goes out", (change, put(0)), (1, 1), 4, ABCD, BCD),
         Scene("one is lost, another comes", (change, put(0)), (1, 1), 4, ABC, BCD, gone=(0,)),
-        Scene("two in a row", (change, members(2, CDE, 2), put(1)), (1, 1, 1), 5, ABC, BCD),
+        Scene("two in a row", (change, members(2, CDE, 2), old), (1, 1, 1), 5, ABC, BCD),
         Scene("wiped at its address", (members(0, WIPED, 1), put(1)), (1, 1), wiped=(2,)),
         Scene("cut in two", (change, put(0), put(1, Y)), (1, 1, 1), 4, ABC, ABCD, cut=two),
         Scene("cut off alone", (change, put(0), put(1, Y)), (1, 1, 1), 4, ABC, ABCD, cut=one),
-        Scene("left half-way", (change, Want(0, "carry")), (1, 1), 4, ABC, BCD, crashes=(1,)),
-        Scene("left half-way, a version too", (Want(0, "carry"), put(2)), (1, 1), 4, ABC, BCD, (0,)),
-        Scene(
-            "installed at one", (Want(0, "carry"), put(2), put(3, Y)), (1, 1, 1), 4, ABC, BCD, (0, 1), (3,)
-        ),
+        Scene("left half-way", (change, carry), (1, 1), 4, ABC, BCD, crashes=(1,)),
+        Scene("left half-way, a version too", (carry, put(2)), (1, 1), 4, ABC, BCD, (0,)),
+        Scene("installed at one", (carry, put(2), put(3, Y)), (1, 1, 1), 4, ABC, BCD, (0, 1), (3,)),
         Scene("two sets", (members(0, ABD), members(1, BCD)), (1, 1), 4),
-        Scene("a leaver", (put(0), Want(2, "leave")), (1, 1)),
-        Scene("a reader", (put(0), Want(1, "read")), (1, 1)),
-        Scene("a reader of the old", (change, put(1), Want(0, "read")), (1, 1, 1), 4, ABC, BCD),
+        Scene("a register of members anew", (change, members(2, (), 2)), (1, 1), 4, ABC, BCD),
+        Scene("a number from before", (put(1, Y), Want(2, "finish", 1)), (1, 1), old=(0,)),
+        Scene("a number from before, handed on", (change, put(1, Y)), (1, 1), 4, ABC, BCD, old=(0,)),
+        Scene("three become one", (change, put(1), Want(1, "read", epoch=2)), (1, 1, 1), 3, ABC, A),
+        Scene("a reader of the old", (change, old, Want(0, "read", epoch=1)), (1, 1, 1), 4, ABC, BCD),
         Scene("not to vote for a while", (change,), (1,), 4, ABC, ABCD, off=(0,), bring=True),
-        Scene("held up", race, (1, 1), late=True),
+        Scene("not to vote, and asked to", (members(2, ()), put(1)), (1, 1), after=ABD, off=(0,)),
     ]
+    if large:
+        scenes += [
+            Scene("any disk is replaced", race, (1, 1), wiped=(0, 1, 2)),
+            Scene("begun anew, both", race, (2, 2), lost=True),
+            Scene("five disks, a race", race, (1, 1), 5, ABCDE, wiped=(4,)),
+            Scene("one comes in, begun anew", (change, put(0)), (1, 2), 4, after=ABCD),
+            Scene(
+                "left half-way, and a version", (change, carry, put(2)), (1, 1, 1), 4, ABC, BCD, crashes=(1,)
+            ),
+            Scene("not to vote, and a version", (change, put(0)), (1, 1), 4, ABC, ABCD, off=(0,), bring=True),
+        ]
     return [World(scene, known) for scene in scenes]
 
 
--- a/meadowworks/timetable/replica.py
+++ b/meadowworks/timetable/replica.py
@@ -462,9 +462,6 @@
                     self.told(now, epoch)
                 if job.kind == "members":
                     self.end(number, None)
-                elif job.kind == "leave" and not sealed and not epoch.has(self.acceptor.disk):
-                    self.note("handed over, and out of the members")
-                    self.end(number, Taken())
                 else:
                     if job.kind == "leave":
                         job.before, job.content = None, None
@@ -475,7 +472,11 @@
     def found(self, now: int, number: int, job: Job, needs: int, version: int, address: str) -> None:
         """A majority has said what it holds."""
         acceptor = self.acceptor
-        if isinstance(job.op, Teacher):
+        assert job.op is not None
+        if job.kind == "leave" and not job.op.epoch.has(acceptor.disk):
+            self.note("handed over, and out of the members")
+            self.end(number, Taken())
+        elif isinstance(job.op, Teacher):
             self.note(f"version {job.op.held.version:08x} is on a majority of the others' disks")
             self.end(number, Taken())
         elif needs <= acceptor.held.version:
