--- a/tests/gateway/features/fleet.feature
+++ b/tests/gateway/features/fleet.feature
@@ -18,6 +18,18 @@
     When a junction is told to end with a request at work
     Then that request is answered, whole, and its connection ends
 
+  Scenario: All power is lost right after a drain was acknowledged
+    Given a gateway whose backends beat
+    When version 1 is sent to the first signalbox
+    And a backend drains at the second signalbox
+    And every program is killed and starts again, and one disk is lost
+    Then a late beat does not bring it back anywhere
+
+  Scenario: A backend is asked to call a signalbox of its zone, and that one fails
+    Given a gateway whose backends beat
+    When a backend of the south beats at the first signalbox, which is of the north
+    Then it is asked to call the second, until a beat fails there
+
   Scenario: An operator asks what is going on
     Given a gateway whose backends beat
     When version 1 is sent to the first signalbox
@@ -35,6 +47,8 @@
     When version 1 is sent to the first signalbox
     And a junction starts anew while only one signalbox is there, cut off
     Then it is not ready, and tells nobody that a route is not there
+    And after a while it still has no table from there, and says when to come back
     And a drain that no other disk's controller hears of is not acknowledged
     When the others are back
     Then it is ready, and an older version that comes late changes nothing there
+    And while its picture is old it is ready, and tells nobody that a route is not there
