--- a/meadowworks/lab/control.py
+++ b/meadowworks/lab/control.py
@@ -525,9 +525,10 @@
         loss: float,
         wide: bool = False,
         first: Box | None = None,
+        patience: int = PATIENCE_NS,
     ) -> None:
         self.day, self.version, self.content, self.loss = day, version, content, loss
-        self.born = day.time.now
+        self.born, self.patience = day.time.now, patience
         self.done: int | None = None
         self.taken = self.refused = False
         self.pause = 100 * MS
@@ -549,7 +550,7 @@
 
     def attempt(self, first: Box | None = None) -> None:
         day = self.day
-        if self.over() or day.time.now - self.born > PATIENCE_NS:
+        if self.over() or day.time.now - self.born > self.patience:
             return
         boxes = [b for b in day.boxes.values() if not b.removed and b.voting]
         box = first or day.chance.choice(boxes)
--- a/meadowworks/lab/drill.py
+++ b/meadowworks/lab/drill.py
@@ -14,7 +14,6 @@
 def cut_off(day: Day) -> None:
     """Some machines are cut off for twenty seconds, both ways, one way or frozen; orders and reads go on."""
     chance = day.chance
-    day.busy(3 * SECOND, 33 * SECOND, (150, 1200), day.order_now)
     lost = chance.sample(day.voters(), chance.randint(1, day.tolerate))
 
     def cut() -> None:
@@ -27,6 +26,9 @@
             day.level(box)
 
     start = 5 * SECOND + chance.randrange(SECOND)
+    if chance.random() < 0.3:
+        return undecided(day)
+    day.busy(3 * SECOND, 33 * SECOND, (150, 1200), day.order_now)
     day.time.at(start, cut)
     if chance.random() < 0.3:  # a cut that comes and goes
         day.time.at(start + 6 * SECOND, day.heal)
@@ -35,6 +37,22 @@
     day.time.run(34 * SECOND)
 
 
+def undecided(day: Day) -> None:
+    """Nobody else has a wish while an order is left half-way, again and again: leases go on."""
+    chance = day.chance
+    day.busy(3 * SECOND, 33 * SECOND, (60_000, 60_001), lambda: None, (60_000, 60_001))
+
+    def some() -> None:
+        box = chance.choice(day.voters())
+        Order(day, day.highest + 1, b"%d" % day.highest, 0.0, first=box, patience=0)
+        day.time.after(chance.randrange(5, 13) * MS, partial(day.kill, box, True))
+        day.time.after(chance.randrange(100, 400) * MS, partial(come_back, day, box))
+
+    for at in (4, 18):
+        day.time.at(at * SECOND, some)
+    day.time.run(34 * SECOND)
+
+
 def one_number(day: Day) -> None:
     """Several operators under one number; answers are lost, orders come again, processes end, power goes."""
     chance = day.chance
@@ -179,7 +197,10 @@
         def rival() -> None:
             day.orders.append(Order(day, version, b"%d-rival" % version, 0.1, first=others[0]))
 
-        day.time.after(chance.randrange(5, 1500) * MS, rival)
+        for other in others[day.tolerate :]:
+            day.time.after(20 * MS, partial(setattr, other, "slow", True))  # who could finish it is late
+            day.time.after(2 * SECOND, partial(setattr, other, "slow", False))
+        day.time.after(chance.choice([150, 300, chance.randrange(5, 1500)]) * MS, rival)
 
 
 def sudden(day: Day, post: int) -> None:
--- a/meadowworks/lab/guards.py
+++ b/meadowworks/lab/guards.py
@@ -154,6 +154,16 @@
 FOUND = replica.acceptor_for
 
 
+def told_in(self: Acceptor, epoch: Epoch) -> bool:
+    news = TOLD(self, epoch)
+    if news and epoch.has(self.disk) and not self.installed:
+        self.epoch, self.installed, self.meta = epoch, True, True
+    return news
+
+
+TOLD = Acceptor.told
+
+
 def gladly(self: Replica, now: int, until_ns: int) -> None:
     self.leaving, self.acceptor.wants = True, False
     self.effects.append(Answer(replica.LEAVE, Taken()))
@@ -274,7 +284,7 @@
     Guard("install-majority", "a change is done at a majority of the new set", 3,
           put(Change, heard=one_installs)),
     Guard("wiped-is-another", "an empty disk is another member", 3,
-          put(control, acceptor_for=same_name)),
+          lambda: put(control, acceptor_for=same_name)() + put(Acceptor, told=told_in)()),
     Guard("hand-over", "a leaver is out, and its copies elsewhere, before it ends", 3,
           put(Replica, leave=gladly)),
     Guard("leaver-stays-out", "a candidate has spoken since the epoch began", 3,
--- /dev/null
+++ b/tests/gateway/test_lab_control.py
@@ -0,0 +1,102 @@
+"""The control laboratory: a few days of each point, and some guards that are missed when they are gone."""
+
+from __future__ import annotations
+
+import random
+import sqlite3
+
+import pytest
+
+from meadowworks import commands
+from meadowworks.depot.disk import Disk
+from meadowworks.lab import campaign, drill, guards
+from meadowworks.lab.disks import Medium, PlayedDisk
+from meadowworks.timetable.register import Held
+from meadowworks.timetable.replica import Rows
+
+
+@pytest.mark.parametrize("point", sorted(drill.POINTS))
+def test_days_without_a_fault(point: int) -> None:
+    total, found, complete = campaign.run(point, range(3), "", 1)
+    assert complete and total.days == 3 and total.acked > 0
+    assert not total.faults(), found
+
+
+def test_the_same_seed_gives_the_same_day() -> None:
+    assert campaign.day(2, "", 5) == campaign.day(2, "", 5)
+
+
+@pytest.mark.parametrize(
+    "name, column",
+    [
+        ("lease", "served_without_majority"),
+        ("read-majority", "served_without_majority"),
+        ("one-content", "confirmed_twice"),
+        ("history", "refused_though_taken"),
+        ("sync", "never_level"),
+        ("replace", "never_level"),
+    ],
+)
+def test_a_guard_that_is_gone_is_missed(name: str, column: str) -> None:
+    total, _, _ = campaign.run(guards.NAMES[name].point, range(2), name, 1)
+    assert total.faults().get(column), total
+
+
+def test_a_guard_is_back_after_its_day() -> None:
+    campaign.day(2, "one-content", 0)
+    assert not campaign.run(2, range(1), "", 1)[0].faults()
+
+
+def rows(version: int) -> Rows:
+    return Rows({"life": version}, Held(version, b"%d" % version), {version: b"d"}, 0, {})
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_what_was_saved_outlives_a_loss_of_power_at_any_operation(seed: int) -> None:
+    medium, saved = Medium(random.Random(seed)), 0
+    for life in range(6):
+        disk: Disk = PlayedDisk(medium)
+        assert disk.load().held.version in (saved, saved + 1)  # a save that was cut short may have been done
+        saved = disk.load().held.version
+        for _ in range(3):
+            disk.save(rows(saved + 1))
+            saved += 1
+        medium.left = seed % 12 + life
+        try:
+            disk.save(rows(saved + 1))
+            saved += 1
+        except sqlite3.Error:
+            pass
+        medium.power_lost()
+        assert isinstance(disk, PlayedDisk)
+        disk.abandon()
+    medium.gone()
+
+
+def test_a_save_without_sync_is_lost() -> None:
+    lost = 0
+    for seed in range(10):
+        medium = Medium(random.Random(seed))
+        disk = PlayedDisk(medium)
+        disk.db.execute("PRAGMA synchronous=OFF")
+        disk.save(rows(1))
+        medium.power_lost()
+        disk.abandon()
+        lost += PlayedDisk(medium).load().held.version == 0
+        medium.gone()
+    assert lost
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["--point", "9"],
+        ["--seeds", "3"],
+        ["--seeds", "4:4"],
+        ["--without", "nothing"],
+        ["--processes", "0"],
+    ],
+)
+def test_bad_input_is_told_in_a_line(words: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+    assert commands.main(["lab", "control", *words]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
