--- a/meadowworks/lab/commands.py
+++ b/meadowworks/lab/commands.py
@@ -44,7 +44,7 @@
     axis: Annotated[str, Arg(long=True, help=f"a series along one of {', '.join(series.POINTS)}")] = "",
     points: Annotated[str, Arg(long=True, help="of the series, with commas between")] = "",
     runs: Annotated[int, Arg(long=True, help="of each point, with other seeds")] = 1,
-    processes: Annotated[int, Arg(long=True, help="at once, 16 at most; else 1, for control 4")] = 0,
+    processes: Annotated[int | None, Arg(long=True, help="at once, 16 at most; else 1, control 4")] = None,
     keep: Annotated[Path | None, Arg(long=True, help="a file that each result is added to")] = None,
     page: Annotated[Path | None, Arg(long=True, help="report: the HTML page to write")] = None,
     point: Annotated[int, Arg(long=True, help="control: of the letter, from 1")] = 1,
@@ -60,7 +60,7 @@
     if what == "control":
         from meadowworks.lab import campaign  # needs apsw
 
-        return campaign.main(point, seeds, without, guards, processes or 4, as_json)
+        return campaign.main(point, seeds, without, guards, 4 if processes is None else processes, as_json)
     if what == "report":
         return told(files or [], page)
     if what != "scale":
@@ -70,7 +70,8 @@
         cpu, memory, loss, most_mb,
     )
     sound(asked)
-    if runs < 1 or not 0 <= processes <= 16:
+    many = 1 if processes is None else processes
+    if runs < 1 or not 1 <= many <= 16:
         raise Bad("--runs is 1 or more, --processes from 1 to 16")
     if not axis and runs == 1:
         found = scale.measure(asked, progress)
@@ -91,7 +92,7 @@
     found_all = []
     complete = True
     try:
-        for found in series.play(wanted, processes or 1, progress):
+        for found in series.play(wanted, many, progress):
             kept(keep, found)
             found_all.append(found)
             if not as_json:
