--- a/meadowworks/signalbox/resources.py
+++ b/meadowworks/signalbox/resources.py
@@ -19,7 +19,7 @@
 HELD_S = 0.7  # that a drain's acknowledgement waits for disks to hold it: a caller gives a beat a second
 ACK_MOST = 4096  # bytes of an acknowledgement: a larger one is none
 CUT_OFF_S = 0.5  # after which a caller may come back to a box that is cut off
-PROPOSE_NS = 800_000_000
+PROPOSE_NS, BYTE_NS = 800_000_000, 100  # and so much more a byte: it is compressed, sent, and twice on a disk
 READ_NS = 800_000_000
 LARGE = 1 << 18  # bytes of a configuration from which on one is checked at a time
 log = logs.part("ctl")
@@ -109,7 +109,7 @@
         if isinstance(found, Invalid):
             log.info("configuration refused: {}", found.why)
             return error(400, found.why)
-        match await self.office.order(found.version, body, PROPOSE_NS):
+        match await self.office.order(found.version, body, PROPOSE_NS + BYTE_NS * len(body)):
             case Another():
                 return error(409, f"version {found.version:08x} has another content")
             case Late(back_ns):
