No job asks anything before this life is on the disk, also not that of a leaver

Cause: Replica.leave began its job without looking at started, so a box told to end while its first write was under way sent Prepare under a ballot of a life that a loss of power took back: the next life has the same number and begins at the same ballot. Change: again puts a job off until the first write is done.

--- a/meadowworks/timetable/replica.py
+++ b/meadowworks/timetable/replica.py
@@ -365,6 +365,9 @@
         acceptor = self.acceptor
         epoch = acceptor.newest()
         job.round += 1
+        if not self.started:  # a ballot of this life may not leave before the life is on the disk
+            job.op, job.due_ns = None, now + RESEND_NS
+            return
         if job.kind == "members":
             if job.before is not None:
                 job.op = Change(job.before, Epoch(job.before.number + 1, unpack_members(job.content or b"")))
