--- a/meadowworks/lab/commands.py
+++ b/meadowworks/lab/commands.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import os
 import sys
 from dataclasses import replace
 from pathlib import Path
@@ -87,6 +88,8 @@
                 print(plain(found), flush=True)
     except KeyboardInterrupt:
         complete = False
+    except RuntimeError as trouble:
+        raise Bad(str(trouble)) from None
     if as_json:
         print(json.dumps({"complete": complete, "points": found_all}))
     return 0 if complete else 130
@@ -103,6 +106,8 @@
         asked.changes + asked.churn + asked.requests + asked.seconds
     ):
         raise Bad("--changes, --churn and --requests are 0 or more")
+    if not asked.most_mb > 0:
+        raise Bad("--most-mb is above 0")
     if asked.loss and asked.loss not in scale.LOSSES:
         raise Bad(f"there is no loss {asked.loss!r}: there are {', '.join(scale.LOSSES)}")
 
@@ -115,7 +120,8 @@
 
 
 def progress(line: str) -> None:
-    print(f"lab scale: {line}", file=sys.stderr, flush=True)
+    if series.QUIET not in os.environ:
+        print(f"lab scale: {line}", file=sys.stderr, flush=True)
 
 
 def kept(file: Path | None, found: dict[str, Any]) -> None:
--- a/meadowworks/lab/scale.py
+++ b/meadowworks/lab/scale.py
@@ -572,7 +572,8 @@
         if self.random.random() * (len(self.lives) + junctions) < junctions:
             self.restart(self.random.randrange(junctions))
             return
-        ident = self.random.choice(list(self.lives))
+        here = [ident for near in self.near.values() for ident in near]  # none that leaves already
+        ident = self.random.choice(here)
         svc, addr, zone = self.lives[ident]
         self.beats(ident, "draining")
         self.near[zone].remove(ident)
--- a/meadowworks/lab/series.py
+++ b/meadowworks/lab/series.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
@@ -35,6 +36,7 @@
     "zones": 24,
     "target": 1,
 }
+QUIET = "MEADOWWORKS_LAB_QUIET"  # set for children: no progress
 SIZES = ("controllers", "backends", "services", "routes")
 WHOLE = ("seed", "boxes", "zones", "controllers", "backends", "services", "routes", "whole")
 
@@ -68,8 +70,9 @@
 
 
 def play(wanted: list[Asked], processes: int, told: Callable[[str], None]) -> Iterator[dict[str, Any]]:
-    """Results as they come. At Ctrl-C the children, which get it too, tell what they have."""
-    left, running = list(wanted), list[Child]()
+    """Results as they come. At Ctrl-C the children, which get it too, tell what they have. Raises
+    RuntimeError, once the others are done, if one had no result."""
+    left, running, failed = list(wanted), list[Child](), 0
     try:
         while left or running:
             while left and len(running) < processes:
@@ -78,11 +81,15 @@
             sleep(0.05)
             for child in [c for c in running if c.process.poll() is not None]:
                 running.remove(child)
-                yield from result(child)
+                if found := result(child):
+                    yield found
+                else:
+                    failed += 1
                 told(f"{len(wanted) - len(left) - len(running)} of {len(wanted)} runs are done")
     except KeyboardInterrupt:
         for child in running:
-            yield from result(child)
+            if found := result(child):
+                yield found
         raise
     finally:
         for child in running:
@@ -93,10 +100,11 @@
 def start(asked: Asked) -> Child:
     command = [sys.executable, "-O", "-m", "meadowworks", "lab", "scale", *words(asked), "--json"]
     out = TemporaryFile("w+")  # noqa: SIM115 (a pipe would hold up a child whose result is long)
-    return Child(subprocess.Popen(command, stdout=out, stderr=subprocess.DEVNULL), out)
+    return Child(subprocess.Popen(command, stdout=out, env={**os.environ, QUIET: "1"}), out)
 
 
-def result(child: Child) -> Iterator[dict[str, Any]]:
+def result(child: Child) -> dict[str, Any] | None:
+    """None of a child that ended without one; what it says of that is on standard error."""
     try:
         child.process.wait(30)
     except subprocess.TimeoutExpired:
@@ -104,5 +112,5 @@
     child.out.seek(0)
     text = child.out.read().strip()
     child.out.close()
-    if text:
-        yield json.loads(text.splitlines()[-1])
+    found: dict[str, Any] | None = json.loads(text.splitlines()[-1]) if text else None
+    return found
--- a/tests/gateway/test_scale.py
+++ b/tests/gateway/test_scale.py
@@ -76,6 +76,19 @@
     assert whole * 0.95 <= more <= whole * 1.1
 
 
+def test_lives_that_follow_each_other_fast_are_told_to_all() -> None:
+    """Many leave in the two seconds that one takes to: none leaves twice."""
+    calm, busy = played(changes=0.0), played(changes=0.0, churn=36000.0)
+    assert busy["drain_ack_s"]["many"] > 20 and busy["drain_ack_s"]["most"] <= 0.2
+    assert counts(busy)[2] > counts(calm)[2] and counts(busy)[0] > 2 * counts(calm)[0]
+
+
+def test_a_bound_on_memory_is_a_number(capsys: pytest.CaptureFixture[str]) -> None:
+    words = "--seconds 1 --controllers 4 --boxes 3 --axis boxes --points 3 --routes 10 --no-cpu --most-mb nan"
+    assert main(["lab", "scale", *words.split()]) == 2
+    assert "most-mb" in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("loss", "least_s", "most_s"),
     [
