--- a/meadowworks/junction/program.py
+++ b/meadowworks/junction/program.py
@@ -14,7 +14,7 @@
 
 from meadowworks.attempts.again import ANSWERED, CANCELLED, UNRUN, come_back_ns
 from meadowworks.carriage.budget import Budget
-from meadowworks.carriage.choice import reach
+from meadowworks.carriage.choice import delays, reach, suffices
 from meadowworks.carriage.journey import PACE_NS, Forward, Journey, Refuse, Send, Step, policy, way
 from meadowworks.carriage.picture import Picture
 from meadowworks.carriage.room import Room, Share
@@ -343,6 +343,8 @@
         offered = False  # to a backend, over a connection that was up
         tasks: dict[asyncio.Task[Tried], int] = {}
         replies: dict[int, Reply | None] = {}
+        lines: dict[int, float] = {}
+        waits: dict[int, float] = {}
 
         def left() -> None:
             if journey.left():
@@ -375,7 +377,10 @@
                     tasks, timeout=max(0.0, (until - now_ns()) / 1e9), return_when=asyncio.FIRST_COMPLETED
                 )
                 later = now_ns()
-                lines, waits, free = self.seen(service, target_ns, later)
+                if answered := next((t for t in done if whole(t)), None):
+                    done = {answered}  # the client gets it: there is nothing to choose
+                else:
+                    lines, waits, free = self.seen(service, target_ns, later)
                 if not done:
                     step = journey.due(later, lines, waits, self.random.random(), again, free)
                     continue
@@ -426,7 +431,9 @@
         abroad: dict[int, float] = {}
         busy: dict[int, float] = {}
         needs: dict[int, float] = {}
-        for lines in (service.abroad, service.lines):
+        for lines in (service.lines, service.abroad):
+            if lines is service.abroad and suffices(own, busy, needs):
+                return own, delays(own, busy, needs), True
             for place, weight in lines.items():
                 ident = names[place]
                 known = self.lives.known.get(ident)
@@ -526,6 +533,11 @@
         await asyncio.sleep(0.02)
 
 
+def whole(task: asyncio.Task[Tried]) -> bool:
+    """Whether a try has ended with an answer for the client."""
+    return not task.cancelled() and task.result().state == ANSWERED
+
+
 def milliseconds(text: bytes | None, otherwise: float) -> float:
     try:
         return float(text) if text is not None else otherwise
