--- a/meadowworks/check/faults.py
+++ b/meadowworks/check/faults.py
@@ -1022,6 +1022,14 @@
             ("clean lines",),
             KEPT,
         ),
+        (
+            "a kept line is taken without a look",
+            "meadowworks.carriage.yard:Yard.take",
+            " and line.usable()",
+            "",
+            ("clean lines",),
+            KEPT,
+        ),
         (
             "an answer without a length ends with its connection",
             LINE + "ask",
