--- a/meadowworks/timetable/replica.py
+++ b/meadowworks/timetable/replica.py
@@ -365,6 +365,9 @@
         acceptor = self.acceptor
         epoch = acceptor.newest()
         job.round += 1
+        if not self.started:  # a ballot of this life may not leave before the life is on the disk
+            job.op, job.due_ns = None, now + RESEND_NS
+            return
         if job.kind == "members":
             if job.before is not None:
                 job.op = Change(job.before, Epoch(job.before.number + 1, unpack_members(job.content or b"")))
@@ -462,9 +465,6 @@
                     self.told(now, epoch)
                 if job.kind == "members":
                     self.end(number, None)
-                elif job.kind == "leave" and not sealed and not epoch.has(self.acceptor.disk):
-                    self.note("handed over, and out of the members")
-                    self.end(number, Taken())
                 else:
                     if job.kind == "leave":
                         job.before, job.content = None, None
@@ -475,7 +475,11 @@
     def found(self, now: int, number: int, job: Job, needs: int, version: int, address: str) -> None:
         """A majority has said what it holds."""
         acceptor = self.acceptor
-        if isinstance(job.op, Teacher):
+        assert job.op is not None
+        if job.kind == "leave" and not job.op.epoch.has(acceptor.disk):
+            self.note("handed over, and out of the members")
+            self.end(number, Taken())
+        elif isinstance(job.op, Teacher):
             self.note(f"version {job.op.held.version:08x} is on a majority of the others' disks")
             self.end(number, Taken())
         elif needs <= acceptor.held.version:
