--- a/meadowworks/lab/campaign.py
+++ b/meadowworks/lab/campaign.py
@@ -19,7 +19,9 @@
 
 def main(point: int, seeds: str, without: str, listed: bool, processes: int, as_json: bool) -> int:
     if listed:
-        print("\n".join(f"{guard.name:24} {guard.text}" for guard in guards.GUARDS))
+        for guard in guards.GUARDS:
+            seen = "seen by no day alone" if guard.name in guards.UNSEEN else f"point {guard.point}"
+            print(f"{guard.name:20} {seen:22} {guard.text}")
         return 0
     if point not in drill.POINTS:
         raise Bad(f"there is no point {point}: there are {', '.join(map(str, drill.POINTS))}")
--- a/meadowworks/lab/guards.py
+++ b/meadowworks/lab/guards.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True)
 class Guard:
-    """`patches` take it out; `point` is where that is seen."""
+    """`patches` take it out; `point` is where that is seen, or was looked for."""
 
     name: str
     text: str
@@ -312,6 +312,9 @@
     Guard("thaw", "a process that stood still knows nobody's silence", 3,
           put(replica, THAW_NS=FAR)),
 )  # fmt: skip
+# Taken out alone, no day of 60 found these gone; by reading, others stand behind them (finish behind transfer, carry
+# behind install-majority, members_after behind thaw, the operator's next try behind resend).
+UNSEEN = ("transfer", "install-majority", "never-below-2t+1", "thaw", "resend")
 NAMES = {guard.name: guard for guard in GUARDS}
 
 
--- a/tests/gateway/test_lab_control.py
+++ b/tests/gateway/test_lab_control.py
@@ -94,7 +94,7 @@
         ["--seeds", "3"],
         ["--seeds", "4:4"],
         ["--without", "nothing"],
-        ["--processes", "0"],
+        ["--processes", "17"],
     ],
 )
 def test_bad_input_is_told_in_a_line(words: list[str], capsys: pytest.CaptureFixture[str]) -> None:
