--- a/meadowworks/lab/guards.py
+++ b/meadowworks/lab/guards.py
@@ -312,8 +312,8 @@
     Guard("thaw", "a process that stood still knows nobody's silence", 3,
           put(replica, THAW_NS=FAR)),
 )  # fmt: skip
-# Taken out alone, no day of 60 found these gone; by reading, others stand behind them (finish behind transfer, carry
-# behind install-majority, members_after behind thaw, the operator's next try behind resend).
+# Taken out alone, no day of 60 found these gone; by reading, others stand behind them: finish for transfer,
+# carry for install-majority, members_after for thaw, the next try of the operator for resend.
 UNSEEN = ("transfer", "install-majority", "never-below-2t+1", "thaw", "resend")
 NAMES = {guard.name: guard for guard in GUARDS}
 
