--- a/meadowworks/lab/commands.py
+++ b/meadowworks/lab/commands.py
@@ -39,6 +39,9 @@
     ] = True,
     memory: Annotated[bool, Arg(long="--memory/--no-memory", help="measure a start and memory too")] = True,
     loss: Annotated[str, Arg(long=True, help=f"what is lost: {', '.join(scale.LOSSES)}")] = "",
+    profile: Annotated[
+        bool, Arg(long="--profile/--no-profile", help="where each role's time goes, by function")
+    ] = False,
     most_mb: Annotated[float, Arg(long=True, help="of memory in a process; beyond it a run ends")] = 4000.0,
     axis: Annotated[str, Arg(long=True, help=f"a series along one of {', '.join(series.POINTS)}")] = "",
     points: Annotated[str, Arg(long=True, help="of the series, with commas between")] = "",
@@ -57,7 +60,7 @@
         raise Bad(f"there is no measurement {what!r}: there are cost, scale and report")
     asked = scale.Asked(
         controllers, boxes, zones, backends, services, routes, changes, churn, requests, seconds, whole, seed,
-        cpu, memory, loss, most_mb,
+        cpu, memory, loss, profile, most_mb,
     )
     sound(asked)
     if runs < 1 or not 1 <= processes <= 16:
@@ -147,6 +150,9 @@
     for one in found["changes"]:
         shown = (f"{n} {v:.3f}" if v is not None else f"{n} not in time" for n, v in one.items())
         lines.append(f"  a change: {', '.join(shown)}")
+    for name, rows in found.get("profile", {}).items():
+        lines.append(f"  {name}, parts with and without what a function calls:")
+        lines += [f"    {r['whole']:.2f} {r['own']:.2f} {r['function']}, {r['calls']} calls" for r in rows]
     if found["loss"]:
         lines.append(f"  loss: {json.dumps(found['loss'])}")
     return "\n".join(lines)
@@ -155,16 +161,18 @@
 def told(files: list[Path], page: Path | None) -> int:
     if not files:
         raise Bad("report wants the files that scale has kept")
-    results = []
+    texts, pages = [], []
     for file in files:
         try:
-            results += [json.loads(line) for line in file.read_text().splitlines() if line.strip()]
+            results = [json.loads(line) for line in file.read_text().splitlines() if line.strip()]
+            text, plots = report.report(results)
         except (OSError, ValueError) as trouble:
             raise Bad(f"{file}: {trouble}") from None
-    try:
-        text, html = report.report(results)
-    except (KeyError, TypeError) as trouble:
-        raise Bad(f"these are no results of scale: {trouble}") from None
+        except (KeyError, TypeError) as trouble:
+            raise Bad(f"{file}: these are no results of scale: {trouble}") from None
+        texts.append(text)
+        pages.append(plots)
+    text, html = "\n\n".join(texts), report.page(pages)
     if page:
         page.write_text(html)
     print(text)
--- a/meadowworks/lab/hollow.py
+++ b/meadowworks/lab/hollow.py
@@ -13,6 +13,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from cProfile import Profile
 from dataclasses import dataclass, field, replace
 from typing import Any, TypeVar
 
@@ -45,11 +46,12 @@
     out_bytes: int = 0
     ins: int = 0
     outs: int = 0
+    profile: Profile | None = None  # shared by a role
 
     def timed(self, part: str, act: Callable[[], T]) -> T:
         start = time.process_time_ns()
         try:
-            return act()
+            return self.profile.runcall(act) if self.profile else act()
         finally:
             spent = time.process_time_ns() - start
             self.turn_ns += spent
--- a/meadowworks/lab/report.py
+++ b/meadowworks/lab/report.py
@@ -127,7 +127,7 @@
 
 
 def report(results: list[dict[str, Any]]) -> tuple[str, str]:
-    """As Markdown tables, and as an HTML page with a plot of each."""
+    """Markdown tables, and a plot of each row, of the axes along which the results of one file differ."""
     text, pictures = [], []
     for axis, rows in axis_of(results).items():
         text += ["", f"### {axis}", ""]
@@ -147,9 +147,10 @@
             found = fit(points)
             tail = [""] * 5
             if found:
-                mark = "" if max(xs) >= TARGET[axis] else " x"
-                last = mean(y for x, y in points if x == max(xs))
-                by_power = last * (TARGET[axis] / max(xs)) ** found.power
+                top = max(x for x, _ in points)
+                mark = "" if top >= TARGET[axis] else " x"
+                last = mean(y for x, y in points if x == top)
+                by_power = last * (TARGET[axis] / top) ** found.power
                 tail = [
                     f"{short(found.base)} + {short(found.slope)} n",
                     f"{found.off:.0%}",
@@ -160,10 +161,17 @@
             text.append(f"| {figure.name}, {figure.unit} | " + " | ".join([*cells, *tail]) + " |")
             pictures.append(plot(f"{figure.name}, {figure.unit}", axis, points, found, figure.budget))
         text += ["", *parts_of([r for r in rows if place(r, axis) == max(xs)], max(xs))]
-    page = "<!doctype html><meta charset=utf-8><title>lab scale</title>" \
-        "<style>body{font:14px sans-serif;margin:2em}svg{margin:4px}</style>" \
-        "<h1>Measured points, fit and budget</h1><p>Dots: runs. Line: base + slope n. Dashed: the budget.</p>"
-    return "\n".join(text).strip(), page + "\n".join(pictures)
+    return "\n".join(text).strip(), "\n".join(pictures)
+
+
+def page(pictures: list[str]) -> str:
+    head = (
+        "<!doctype html><meta charset=utf-8><title>lab scale</title>"
+        "<style>body{font:14px sans-serif;margin:2em}svg{margin:4px}</style>"
+        "<h1>Measured points, fit and budget</h1>"
+        "<p>Dots: runs. Line: base + slope n, to the largest point or the target. Dashed: the budget.</p>\n"
+    )
+    return head + "\n".join(pictures) + "\n"
 
 
 def parts_of(rows: list[dict[str, Any]], at: float) -> list[str]:
--- a/meadowworks/lab/scale.py
+++ b/meadowworks/lab/scale.py
@@ -11,6 +11,7 @@
 import gc
 import heapq
 import json
+import pstats
 import random
 import resource
 import time
@@ -18,9 +19,11 @@
 import zlib
 from collections import Counter, deque
 from collections.abc import Callable
+from cProfile import Profile
 from dataclasses import asdict, dataclass, field, replace
 from functools import partial
 from itertools import count
+from pathlib import Path
 from typing import Any
 
 from meadowworks.junction.upstream import Upstream
@@ -63,6 +66,7 @@
     cpu: bool = True
     memory: bool = True
     loss: str = ""
+    profile: bool = False
     most_mb: float = 4000.0  # of memory; a run that takes more ends early
 
 
@@ -76,11 +80,9 @@
     free_ns: int = 0
     queue: deque[Callable[[], None]] = field(default_factory=deque)
     at_work: bool = False
-    work_ns: int = 0
     life: int = 0
     upstream: Upstream | None = None  # of a junction
     silent: set[str] = field(default_factory=set)  # gave no answer: a line must come up first
-    fed_ns: int = 0  # when news last came
 
 
 @dataclass(slots=True)
@@ -108,9 +110,7 @@
         self.zones = [f"zone-{k:02}" for k in range(asked.zones)]
         self.outbox: list[tuple[int, Callable[[], None]]] | None = None
         self.changes: list[Change] = []
-        self.drains: list[tuple[int, int]] = []  # nanoseconds until acknowledged; version
-        self.starts: list[dict[str, float]] = []
-        self.counting = False
+        self.drains: list[int] = []  # nanoseconds until acknowledged
         self.charge: dict[bool, tuple[float, float]] = {}  # by whether a table came: ns, bytes, of whole ones
         self.since_ns = self.until_ns = self.now
         self.why = ""  # it ended early
@@ -157,7 +157,6 @@
         node.meter.turn_ns = 0
         act()
         spent = node.meter.turn()
-        node.work_ns += spent
         took = spent if self.asked.cpu else 0
         sent, self.outbox = self.outbox, None
         for wait, what in sent or ():
@@ -404,7 +403,6 @@
         node.upstream.failed(self.now, pair[1].members.me.host)
 
     def fed(self, node: Node) -> None:
-        node.fed_ns = self.now
         if node.name in self.unfed:
             self.seen.setdefault(node.name, (self.now - self.lost_ns) / SECOND)
 
@@ -499,7 +497,7 @@
 
         def acked() -> None:
             if state != "up":
-                self.send(0, lambda: self.drains.append((self.now - sent, 0)))
+                self.send(0, lambda: self.drains.append(self.now - sent))
 
         self.send(IN_ZONE_NS, lambda: self.give(node, lambda: box.beat(ident, body, acked)))
 
@@ -660,6 +658,10 @@
 
     def play(self) -> bool:
         """Whether it was played to its end."""
+        self.profiles = {name: Profile() for name in ("junction", "signalbox")} if self.asked.profile else {}
+        for name, nodes in (("junction", self.whole), ("signalbox", self.boxes)):
+            for node, _ in nodes:
+                node.meter.profile = self.profiles.get(name)
         gc.collect()
         gc.freeze()
         gc.disable()  # the product's processes have a heap of their own each; here one would pay for all
@@ -668,7 +670,6 @@
             self.run(self.now + int(WARM_S * SECOND))
             for node, _ in [*self.boxes, *self.whole, *self.callers]:
                 node.meter.clear()
-                node.work_ns = 0
             self.since_ns = self.now
             self.run(self.now + int(self.asked.seconds * SECOND), True)
             if self.asked.changes:  # what was sent is waited for, so that the slowest is seen
@@ -709,9 +710,11 @@
             "configuration": {"bytes": len(content), "compressed": len(zlib.compress(content, 6))},
             "changes": [self.told(one, junctions) for one in self.changes],
             "loss": self.loss(),
-            "drain_ack_s": quantiles([ns / SECOND for ns, _ in self.drains]),
+            "drain_ack_s": quantiles([ns / SECOND for ns in self.drains]),
         }
         found["held"] = self.held()
+        if self.profiles:
+            found["profile"] = {name: functions(one) for name, one in self.profiles.items()}
         found["start"], found["memory"] = self.start()
         found["process"] = {
             "peak_mb": peak_mb(),
@@ -812,6 +815,22 @@
         return {"junction": start}, memory
 
 
+def functions(profile: Profile, most: int = 24) -> list[dict[str, Any]]:
+    """Where a role's time goes, as parts of all of it: with what a function calls (`whole`), and without
+    (`own`). The profiler slows calls, so small functions come out too large."""
+    stats = pstats.Stats(profile).get_stats_profile()
+    found = sorted(stats.func_profiles.items(), key=lambda pair: -pair[1].cumtime)[:most]
+    return [
+        {
+            "function": f"{Path(f.file_name).parent.name}/{Path(f.file_name).stem}.{name}",
+            "calls": f.ncalls,
+            "own": f.tottime / stats.total_tt,
+            "whole": f.cumtime / stats.total_tt,
+        }
+        for name, f in found
+    ]
+
+
 def traced(build: Callable[[], object]) -> dict[str, float]:
     """Megabytes that what is built holds, and that its building took at the most."""
     gc.collect()
--- a/tests/gateway/test_scale.py
+++ b/tests/gateway/test_scale.py
@@ -132,6 +132,16 @@
     assert page.read_text().count("<svg") >= 8
 
 
+def test_a_size_at_which_no_change_came_into_force_leaves_its_place_empty() -> None:
+    few, many = played(controllers=7, memory=True), played(controllers=13, memory=True)
+    for change in many["changes"]:
+        change["at_all_s"] = None
+    text, _ = report.report([few, many, few])
+    (row,) = [line for line in text.splitlines() if "in force everywhere" in line] or [""]
+    assert not row  # a line wants two sizes
+    assert "| a junction's bytes in" in text
+
+
 def test_a_fit_finds_a_line_and_says_how_far_off_it_is() -> None:
     found = report.fit([(x, 3.0 + 0.5 * x) for x in (10.0, 30.0, 100.0, 300.0)])
     assert found and found.base == pytest.approx(3.0) and found.slope == pytest.approx(0.5)
