Model replica: the order of writes and sends with disks of their own, explored whole

Cause: the model timetable takes an answer and its write as one step; whether replica.py keeps that was for no model to see. Change: check/models/replica.py plays whole Replicas: a write is on the disk at a step of its own, power may be lost before it, requests come at any time, also of a life that is over. Eight properties, among them that what a reply says, and what a box counts of its own answers, is on its disk. 22 seeded faults, in later, written, collect, start, again and the acceptor's marks of what to write. Not shown: that collect copies a slot (the world saves in one piece).

--- a/meadowworks/check/faults.py
+++ b/meadowworks/check/faults.py
@@ -1203,6 +1203,169 @@
     ),
 )
 
+ACCEPTOR, BOX = REGISTER + "Acceptor.", REPLICA + "Replica."
+WRITES = (
+    *(
+        Fault(name, "replica", at, was, now, breaks)
+        for name, at, was, now, breaks in (
+            (
+                "a reply leaves before its write",
+                BOX + "asked",
+                'self.later(("tell", ticket, who, self.answered(now, request)))',
+                'self.ready.append(("tell", ticket, who, self.answered(now, request)))',
+                ("told rests on the disk",),
+            ),
+            (
+                "an own answer counts before its write",
+                BOX + "drive",
+                'self.later(("own", number, job.round, disk, self.answered(now, request)))',
+                'self.ready.append(("own", number, job.round, disk, self.answered(now, request)))',
+                ("own rests on the disk",),
+            ),
+            (
+                "what is not yet handed out to be written is not waited for",
+                BOX + "later",
+                "if self.dirty():",
+                "if False:",
+                ("told rests on the disk", "own rests on the disk"),
+            ),
+            (
+                "a write on its way is not waited for",
+                BOX + "later",
+                "elif self.inflight:",
+                "elif False:",
+                ("told rests on the disk", "own rests on the disk"),
+            ),
+            (
+                "any write opens all gates",
+                BOX + "written",
+                "while self.gated and self.gated[0][0] <= mark:",
+                "while self.gated:",
+                ("told rests on the disk", "own rests on the disk"),
+            ),
+            (
+                "what waits for the next write is let go by the last",
+                BOX + "later",
+                "self.gated.append((self.mark + 1, what))",
+                "self.gated.append((self.mark, what))",
+                ("told rests on the disk", "own rests on the disk", "lasts"),
+            ),
+            (
+                "a job asks before the life is on the disk",
+                BOX + "again",
+                "if not self.started:",
+                "if False:",
+                ("life first",),
+            ),
+            (
+                "a start does not wait for its write",
+                BOX + "start",
+                'self.later(("started",))',
+                "self.started = True",
+                ("life first", "one ballot"),
+            ),
+            (
+                "a new life is not written",
+                BOX + "start",
+                "self.acceptor.meta = True",
+                "pass",
+                ("one ballot",),
+            ),
+            (
+                "a write leaves the life out",
+                BOX + "collect",
+                '"life": acceptor.life,',
+                '"life": 0,',
+                ("never back",),
+            ),
+            (
+                "another's content is acknowledged as the own",
+                BOX + "reply",
+                "Taken() if content == job.content else Another()",
+                "Taken()",
+                ("one content",),
+            ),
+            (
+                "an acknowledgement does not wait for a majority",
+                REGISTER + "Proposer.heard",
+                "if len(self.accepts) < self.epoch.majority:",
+                "if False:",
+                ("lasts",),
+            ),
+            (
+                "what was promised or accepted is not written",
+                ACCEPTOR + "answer",
+                "self.changed.add(request.version)",
+                "pass",
+                ("told rests on the disk", "own rests on the disk", "whole"),
+            ),
+            (
+                "a seal is not written",
+                ACCEPTOR + "seal",
+                "self.sealed, self.meta = after, True",
+                "self.sealed = after",
+                ("told rests on the disk", "own rests on the disk", "whole"),
+            ),
+            (
+                "a member's new epoch is not written",
+                ACCEPTOR + "install",
+                "self.installed, self.meta = True, True",
+                "self.installed = True",
+                ("told rests on the disk", "own rests on the disk", "whole"),
+            ),
+            (
+                "the register of members stays on the disk",
+                ACCEPTOR + "install",
+                "self.changed.add(MEMBERSHIP)",
+                "pass",
+                ("whole",),
+            ),
+            (
+                "what was handed on is not written",
+                ACCEPTOR + "merge",
+                "self.changed.add(version)",
+                "pass",
+                ("whole",),
+            ),
+            (
+                "what is settled is not written",
+                ACCEPTOR + "learn",
+                "self.held, self.news = Held(version, content), True",
+                "self.held, self.news = Held(version, content), False",
+                ("whole",),
+            ),
+            (
+                "what is settled stays undecided on the disk",
+                ACCEPTOR + "learn",
+                "self.changed.add(old)",
+                "pass",
+                ("whole",),
+            ),
+            (
+                "a write holds no slots",
+                BOX + "collect",
+                "for v in acceptor.changed",
+                "for v in ()",
+                ("told rests on the disk", "own rests on the disk", "whole"),
+            ),
+            (
+                "a write leaves the seal out",
+                BOX + "collect",
+                "None if acceptor.sealed is None else pack_epoch(acceptor.sealed)",
+                "None",
+                ("told rests on the disk", "own rests on the disk", "whole"),
+            ),
+            (
+                "a write does not say who is installed",
+                BOX + "collect",
+                '"installed": acceptor.installed,',
+                '"installed": False,',
+                ("never back", "whole"),
+            ),
+        )
+    ),
+)
+
 JOURNEY, ANSWERS = "meadowworks.carriage.journey:Journey.", "meadowworks.carriage.answers:"
 CARRIAGE = (
     *(
@@ -1458,4 +1621,4 @@
         )
     ),
 )
-FAULTS = (*ATTEMPT, *CONNECTION, *GRANTS, *MODULE, *TIMETABLE, *CARRIAGE, *TELEGRAPH, *ROSTER)
+FAULTS = (*ATTEMPT, *CONNECTION, *GRANTS, *MODULE, *TIMETABLE, *WRITES, *CARRIAGE, *TELEGRAPH, *ROSTER)
--- /dev/null
+++ b/meadowworks/check/models/replica.py
@@ -0,0 +1,449 @@
+"""Signalboxes' parts in the agreement, whole: `meadowworks.timetable.replica.Replica`s, each with a disk on
+which a write is made or lost with the power, and requests that come at any time, or from a life that is over.
+
+What a replica holds in memory and what is on its disk are two things here; a write is on the disk at a step
+of its own, and a loss of power before it leaves the disk as it was. Time stands still: nothing is sent again,
+and who would pause waits for good. A reply is heard when it leaves, if who asked still lives.
+"""
+
+from __future__ import annotations
+
+import pickle
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, fields, is_dataclass
+from itertools import combinations
+from typing import Any
+
+from meadowworks.check.model import Model, Property, Step
+from meadowworks.check.models.timetable import ABC, X, Y, disks, flat_acceptor, forward
+from meadowworks.timetable.register import (
+    MEMBERSHIP,
+    NONE,
+    Accept,
+    Accepted,
+    Acceptor,
+    Change,
+    Epoch,
+    Held,
+    Installed,
+    Promised,
+    Proposer,
+    Request,
+    Sealed,
+    Seen,
+    Slot,
+)
+from meadowworks.timetable.replica import (
+    SECOND,
+    Answer,
+    Ask,
+    Job,
+    Replica,
+    Rows,
+    Taken,
+    Tell,
+    Write,
+    acceptor_for,
+    pack_members,
+)
+
+AB, BC = disks("a", "b"), disks("b", "c")
+NOW, FAR = 10 * SECOND, 99 * SECOND
+Members = tuple[tuple[str, str], ...]
+
+
+def half() -> float:
+    return 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """`orders`: place, version, content, each given once. `changes`: places that propose `after` as the next
+    members, once; `leaves`: places that are told to end."""
+
+    name: str
+    orders: tuple[tuple[int, int, bytes], ...] = ()
+    crashes: tuple[int, ...] = ()
+    places: int = 3
+    members: Members = ABC
+    after: Members = ()
+    changes: tuple[int, ...] = ()
+    leaves: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class Disk:
+    """What is there after a loss of power, and the write that is on its way."""
+
+    meta: dict[str, Any] | None = None
+    held: Held = Held()
+    history: dict[int, bytes] | None = None
+    slots: dict[int, Slot] | None = None
+    pending: Write | None = None
+
+    def save(self, rows: Rows) -> None:
+        self.history, self.slots = self.history or {}, self.slots or {}
+        if rows.meta is not None:
+            self.meta = dict(rows.meta)
+        if rows.held is not None:
+            self.held = rows.held
+            self.history = {v: d for v, d in {**self.history, **rows.history}.items() if v >= rows.floor}
+        for version, slot in rows.slots.items():
+            if slot is None:
+                self.slots.pop(version, None)
+            else:
+                self.slots[version] = Slot(slot.promised, slot.accepted, slot.content)
+
+    def acceptor(self, address: str) -> Acceptor:
+        return acceptor_for(
+            self.meta,
+            disk="",
+            address=address,
+            seeds=(),
+            bootstrap=False,
+            voting=True,
+            held=self.held,
+            history=self.history,
+            slots={v: Slot(s.promised, s.accepted, s.content) for v, s in (self.slots or {}).items()},
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that is on its way."""
+
+    place: int
+    life: int
+    question: int
+    to: int
+    request: Request
+
+
+class World:
+    def __init__(self, scene: Scene) -> None:
+        self.scene = scene
+        self.did: list[tuple[Any, ...]] = []
+        self.disks = [Disk() for _ in range(scene.places)]
+        self.boxes: list[Replica] = []
+        self.sent: list[Sent] = []
+        self.orders, self.changes, self.leaves = scene.orders, scene.changes, scene.leaves
+        self.crashes = scene.crashes
+        self.acked: tuple[tuple[int, bytes], ...] = ()
+        for k, disk in enumerate(self.disks):
+            made = Acceptor(chr(ord("a") + k), str(k), epoch=Epoch(1, scene.members), meta=True)
+            made.installed = made.epoch.has(made.disk)
+            disk.save(Replica(made, 1, half).collect())
+            assert disk.meta is not None
+            disk.meta["installed"] = made.installed  # as a disk is that was written before any fault
+            self.boxes.append(Replica(disk.acceptor(str(k)), 1, half))
+            self.boxes[k].start(NOW)
+            self.settle(k)
+
+    def enabled(self) -> Iterable[Step]:
+        found: list[Step] = [("order", place) for place in range(len(self.orders))]
+        found += [("ask", s.place, s.life, s.question) for s in self.sent]
+        found += [("written", k) for k, disk in enumerate(self.disks) if disk.pending]
+        found += [("crash", k) for k in self.crashes]
+        found += [("change", k) for k in self.changes]
+        found += [("leave", k) for k in self.leaves]
+        return found
+
+    def do(self, step: Step) -> None:
+        kind, *what = step
+        self.did = []
+        before = [flat_acceptor(disk.acceptor("")) for disk in self.disks]
+        getattr(self, "do_" + kind)(*what)
+        for was, disk in zip(before, self.disks, strict=True):
+            self.did.append(("kept", was, flat_acceptor(disk.acceptor(""))))
+
+    def do_order(self, place: int) -> None:
+        k, version, content = self.orders[place]
+        self.orders = (*self.orders[:place], *self.orders[place + 1 :])
+        box = self.boxes[k]
+        for j, other in enumerate(self.boxes):
+            if j != k:  # it has its lease
+                box.met(NOW, NOW, other.acceptor.seen())
+        box.order(NOW, version * 1000 + content[0], version, content, FAR)
+        self.settle(k)
+
+    def do_change(self, k: int) -> None:
+        self.changes = tuple(j for j in self.changes if j != k)
+        box = self.boxes[k]
+        if box.started and box.acceptor.votes():
+            box.begin(NOW, Job("members", MEMBERSHIP, pack_members(self.scene.after), FAR, []))
+            box.settle(NOW)
+        self.settle(k)
+
+    def do_leave(self, k: int) -> None:
+        self.leaves = tuple(j for j in self.leaves if j != k)
+        self.boxes[k].leave(NOW, FAR)
+        self.settle(k)
+
+    def do_ask(self, place: int, life: int, question: int) -> None:
+        found = next(s for s in self.sent if (s.place, s.life, s.question) == (place, life, question))
+        self.sent.remove(found)
+        self.boxes[found.to].asked(NOW, (place, life, question), found.request)
+        self.settle(found.to)
+
+    def do_written(self, k: int) -> None:
+        disk = self.disks[k]
+        write, disk.pending = disk.pending, None
+        assert write is not None
+        disk.save(write.rows)
+        self.boxes[k].written(NOW, write.mark)
+        self.settle(k)
+
+    def do_crash(self, k: int) -> None:
+        self.crashes = tuple(j for j in self.crashes if j != k)
+        self.disks[k].pending = None
+        self.boxes[k] = Replica(self.disks[k].acceptor(str(k)), 1, half)
+        self.boxes[k].start(NOW)
+        self.settle(k)
+
+    def settle(self, k: int) -> None:
+        """Does what a replica's inputs have come to, and what the replies come to in turn."""
+        waiting = deque([k])
+        while waiting:
+            k = waiting.popleft()
+            box = self.boxes[k]
+            for effect in box.take():
+                match effect:
+                    case Write():
+                        assert self.disks[k].pending is None
+                        self.disks[k].pending = effect
+                    case Ask(question, address, request):
+                        life = box.acceptor.life
+                        meta = self.disks[k].meta
+                        self.did.append(("asked", life, meta["life"] if meta else 0))
+                        self.sent.append(Sent(k, life, question, int(address), request))
+                    case Tell((place, life, question), who, reply):
+                        self.did.append(("told", self.rests(k, reply)))
+                        if self.boxes[place].acceptor.life == life:
+                            self.boxes[place].heard(NOW, question, who, reply)
+                            waiting.append(place)
+                    case Answer(order, Taken()) if order >= 1000:
+                        self.acked = tuple(sorted({*self.acked, (order // 1000, bytes([order % 1000]))}))
+
+    def rests(self, k: int, reply: Any) -> bool:
+        """Whether what a reply says is on the disk of who says it."""
+        one = self.disks[k].acceptor("")
+        match reply:
+            case Promised(ballot) | Accepted(ballot):
+                return one.epoch.number > ballot.epoch or any(
+                    (s.accepted if isinstance(reply, Accepted) else s.promised) >= ballot
+                    or one.held.version >= version > 0
+                    for version, s in [*one.slots.items(), (one.held.version, Slot())]
+                )
+            case Sealed(after):
+                return one.epoch.number >= after.number or one.sealed == after
+            case Installed(number):
+                return one.epoch.number >= number and one.installed
+            case Seen():
+                return reply.version <= one.held.version
+        return True
+
+    def freeze(self) -> Any:
+        rest = (self.orders, self.changes, self.leaves, self.crashes, self.acked)
+        return pickle.dumps((self.scene, self.disks, self.boxes, self.sent, rest), pickle.HIGHEST_PROTOCOL)
+
+    def key(self) -> Any:
+        return (
+            self.scene.name,
+            plain(self.disks),
+            tuple([plain(vars(box)) for box in self.boxes]),
+            tuple(sorted([plain(s) for s in self.sent], key=repr)),
+            self.orders,
+            self.changes,
+            self.leaves,
+            self.crashes,
+            self.acked,
+        )
+
+
+IDLE = {"chance", "effects", "questions", "peers", "mine", "since", "turn_ns", "step_ns"}
+
+
+def plain(what: Any) -> Any:
+    """As numbers, words and tuples. What time alone would use is left out: time stands still."""
+    match what:
+        case None | bool() | int() | str() | bytes():
+            return what
+        case list() | deque() | tuple():
+            return tuple([plain(one) for one in what])
+        case dict():
+            rows = [(k, plain(v)) for k, v in what.items() if k not in IDLE]
+            return tuple(sorted(rows, key=repr))
+        case set():
+            return tuple(sorted(what))
+    if is_dataclass(what):
+        return (type(what).__name__, *(plain(getattr(what, f.name)) for f in fields(what)))
+    return (type(what).__name__, plain(vars(what)))
+
+
+def thaw(state: Any) -> World:
+    world = World.__new__(World)
+    world.did = []
+    world.scene, world.disks, world.boxes, world.sent, rest = pickle.loads(state)
+    world.orders, world.changes, world.leaves, world.crashes, world.acked = rest
+    return world
+
+
+# -- properties
+
+
+def one_content(world: World) -> bool:
+    versions = [version for version, _ in world.acked]
+    return len(versions) == len(set(versions))
+
+
+def lasts(world: World) -> bool:
+    """What was acknowledged is on a majority of the disks of its epoch's members, written."""
+    if not world.acked:
+        return True
+    disks = [disk.acceptor("") for disk in world.disks]
+    newest = max((d.epoch for d in disks if d.installed), key=lambda e: e.number)
+    group = [d for d in disks if d.installed and newest.has(d.disk) and d.epoch.number == newest.number]
+    if len(group) < newest.majority:
+        group = [d for d in disks if d.installed and any(d.disk == n for n, _ in world.scene.members)]
+        newest = Epoch(1, world.scene.members)
+    return all(
+        any(finds(one, version, content) for one in some)
+        for version, content in world.acked
+        for some in combinations(group, newest.majority)
+    )
+
+
+def finds(one: Acceptor, version: int, content: bytes) -> bool:
+    slot = one.slots.get(version)
+    return (
+        one.held.version > version
+        or one.held == Held(version, content)
+        or slot is not None
+        and slot.accepted > NONE
+        and slot.content == content
+    )
+
+
+def one_ballot(world: World) -> bool:
+    found: dict[Any, bytes] = {}
+    taken = [
+        (version, slot.accepted, slot.content)
+        for box in (*(b.acceptor for b in world.boxes), *(d.acceptor("") for d in world.disks))
+        for version, slot in box.slots.items()
+        if slot.accepted > NONE
+    ]
+    taken += [
+        (s.request.version, s.request.ballot, s.request.content)
+        for s in world.sent
+        if isinstance(s.request, Accept)
+    ]
+    return all(found.setdefault((version, ballot), content) == content for version, ballot, content in taken)
+
+
+def told_rests(world: World) -> bool:
+    return all(row[1] for row in world.did if row[0] == "told")
+
+
+def own_rests(world: World) -> bool:
+    """What a job counts of its own acceptor's is on its disk."""
+    for box, disk in zip(world.boxes, world.disks, strict=True):
+        one, me = disk.acceptor(""), box.acceptor.disk
+        for job in box.jobs.values():
+            match job.op:
+                case Proposer() as op:
+                    slot = one.slots.get(op.version) or Slot()
+                    past = one.held.version >= op.version > 0 or one.epoch.number > op.epoch.number
+                    if me in op.accepts and slot.accepted < op.ballot and not past:
+                        return False
+                    if me in op.promises and slot.promised < op.ballot and not past:
+                        return False
+                case Change() as op:
+                    if me in op.states and one.sealed is None and one.epoch.number < op.after.number:
+                        return False
+                    if me in op.installed and one.epoch.number < op.after.number:
+                        return False
+    return True
+
+
+def life_first(world: World) -> bool:
+    return all(row[2] >= row[1] for row in world.did if row[0] == "asked")
+
+
+def never_back(world: World) -> bool:
+    return all(forward(row[1], row[2]) for row in world.did if row[0] == "kept")
+
+
+def whole(world: World) -> bool:
+    """A disk on which everything is written holds what the memory does."""
+    for box, disk in zip(world.boxes, world.disks, strict=True):
+        if disk.pending is None and not box.dirty():
+            memory, there = flat_acceptor(box.acceptor), flat_acceptor(disk.acceptor(box.acceptor.address))
+            if memory[:3] + memory[4:11] != there[:3] + there[4:11]:
+                return False
+    return True
+
+
+PROPERTIES = (
+    Property("one content", "of two contents under one number one at most is ever acknowledged", one_content),
+    Property("lasts", "what was acknowledged is found on the written disks of any majority", lasts),
+    Property(
+        "one ballot", "no ballot stands for two contents, in memory, on disks or on the way", one_ballot
+    ),
+    Property("told rests on the disk", "what a reply says is on its disk when it leaves", told_rests, "step"),
+    Property("own rests on the disk", "what a box counts of its own answers is on its disk", own_rests),
+    Property("life first", "no request leaves before its life is on the disk", life_first, "step"),
+    Property(
+        "never back", "a disk goes back in no version, promise, epoch, seal or life", never_back, "step"
+    ),
+    Property("whole", "with nothing left to write, the disk holds what the memory does", whole),
+)
+
+
+def say(step: Step) -> str:
+    kind, *rest = step
+    match kind, rest:
+        case "order", [place]:
+            return f"order {place} of those left is given"
+        case "ask", [k, life, question]:
+            return f"request {question} of box {k} in its life {life} comes"
+        case "written", [k]:
+            return f"disk {k} has written"
+        case "crash", [k]:
+            return f"box {k} loses power and comes back"
+        case "change", [k]:
+            return f"box {k} proposes other members"
+        case "leave", [k]:
+            return f"box {k} is told to end"
+    raise ValueError(f"no such step: {step!r}")
+
+
+def starts(large: bool) -> list[World]:
+    scenes = [
+        Scene("an order, and power is lost", ((0, 1, X),), (1,)),
+        Scene("two at one box, which loses power", ((0, 1, X), (0, 1, Y)), (0,), 2, AB),
+        Scene("members, and power is lost", (), (0,), 3, AB, BC, (1,)),
+        Scene("two carry the members through", (), (), 3, AB, BC, (0, 1)),
+        Scene("members and a version", ((1, 1, X),), (), 3, AB, BC, (1,)),
+        Scene("told to end as it starts", (), (0,), 2, AB, leaves=(0,)),
+        Scene("two boxes of two", ((0, 1, X), (1, 1, Y)), (), 2, AB),
+    ]
+    if large:
+        scenes += [
+            Scene("a race of three, and power is lost", ((0, 1, X), (1, 1, Y)), (0,)),
+            Scene("an order and two losses", ((0, 1, X),), (0, 1)),
+            Scene("members, a version, and power is lost", ((0, 1, X),), (0,), 3, AB, BC, (1,)),
+        ]
+    return [World(scene) for scene in scenes]
+
+
+def model(large: bool) -> Model:
+    return Model(
+        "replica",
+        "signalboxes' machines with their disks: the order of writes and sends",
+        lambda: starts(large),
+        thaw,
+        say,
+        PROPERTIES,
+        finished=lambda world: True,
+    )
