--- a/meadowworks/check/faults.py
+++ b/meadowworks/check/faults.py
@@ -1206,14 +1206,15 @@
 ACCEPTOR, BOX = REGISTER + "Acceptor.", REPLICA + "Replica."
 WRITES = (
     *(
-        Fault(name, "replica", at, was, now, breaks)
-        for name, at, was, now, breaks in (
+        Fault(name, "replica", at, was, now, breaks, starts=starts)
+        for name, at, was, now, breaks, starts in (
             (
                 "a reply leaves before its write",
                 BOX + "asked",
                 'self.later(("tell", ticket, who, self.answered(now, request)))',
                 'self.ready.append(("tell", ticket, who, self.answered(now, request)))',
                 ("told rests on the disk",),
+                (),
             ),
             (
                 "an own answer counts before its write",
@@ -1221,6 +1222,7 @@
                 'self.later(("own", number, job.round, disk, self.answered(now, request)))',
                 'self.ready.append(("own", number, job.round, disk, self.answered(now, request)))',
                 ("own rests on the disk",),
+                (),
             ),
             (
                 "what is not yet handed out to be written is not waited for",
@@ -1228,6 +1230,7 @@
                 "if self.dirty():",
                 "if False:",
                 ("told rests on the disk", "own rests on the disk"),
+                (),
             ),
             (
                 "a write on its way is not waited for",
@@ -1235,6 +1238,7 @@
                 "elif self.inflight:",
                 "elif False:",
                 ("told rests on the disk", "own rests on the disk"),
+                (3,),
             ),
             (
                 "any write opens all gates",
@@ -1242,6 +1246,7 @@
                 "while self.gated and self.gated[0][0] <= mark:",
                 "while self.gated:",
                 ("told rests on the disk", "own rests on the disk"),
+                (),
             ),
             (
                 "what waits for the next write is let go by the last",
@@ -1249,6 +1254,7 @@
                 "self.gated.append((self.mark + 1, what))",
                 "self.gated.append((self.mark, what))",
                 ("told rests on the disk", "own rests on the disk", "lasts"),
+                (),
             ),
             (
                 "a job asks before the life is on the disk",
@@ -1256,6 +1262,7 @@
                 "if not self.started:",
                 "if False:",
                 ("life first",),
+                (),
             ),
             (
                 "a start does not wait for its write",
@@ -1263,13 +1270,23 @@
                 'self.later(("started",))',
                 "self.started = True",
                 ("life first", "one ballot"),
+                (),
             ),
             (
                 "a new life is not written",
                 BOX + "start",
                 "self.acceptor.meta = True",
                 "pass",
+                ("life first",),
+                (),
+            ),
+            (
+                "a ballot has the life alone in its name",
+                BOX + "proposer",
+                "{self.acceptor.disk}.{self.acceptor.life}",
+                "{self.acceptor.life}",
                 ("one ballot",),
+                (6,),
             ),
             (
                 "a write leaves the life out",
@@ -1277,6 +1294,7 @@
                 '"life": acceptor.life,',
                 '"life": 0,',
                 ("never back",),
+                (),
             ),
             (
                 "another's content is acknowledged as the own",
@@ -1284,6 +1302,7 @@
                 "Taken() if content == job.content else Another()",
                 "Taken()",
                 ("one content",),
+                (6,),
             ),
             (
                 "an acknowledgement does not wait for a majority",
@@ -1291,6 +1310,7 @@
                 "if len(self.accepts) < self.epoch.majority:",
                 "if False:",
                 ("lasts",),
+                (0,),
             ),
             (
                 "what was promised or accepted is not written",
@@ -1298,6 +1318,7 @@
                 "self.changed.add(request.version)",
                 "pass",
                 ("told rests on the disk", "own rests on the disk", "whole"),
+                (),
             ),
             (
                 "a seal is not written",
@@ -1305,6 +1326,7 @@
                 "self.sealed, self.meta = after, True",
                 "self.sealed = after",
                 ("told rests on the disk", "own rests on the disk", "whole"),
+                (2,),
             ),
             (
                 "a member's new epoch is not written",
@@ -1312,6 +1334,7 @@
                 "self.installed, self.meta = True, True",
                 "self.installed = True",
                 ("told rests on the disk", "own rests on the disk", "whole"),
+                (2,),
             ),
             (
                 "the register of members stays on the disk",
@@ -1319,6 +1342,7 @@
                 "self.changed.add(MEMBERSHIP)",
                 "pass",
                 ("whole",),
+                (2,),
             ),
             (
                 "what was handed on is not written",
@@ -1326,6 +1350,7 @@
                 "self.changed.add(version)",
                 "pass",
                 ("whole",),
+                (4,),
             ),
             (
                 "what is settled is not written",
@@ -1333,6 +1358,7 @@
                 "self.held, self.news = Held(version, content), True",
                 "self.held, self.news = Held(version, content), False",
                 ("whole",),
+                (6,),
             ),
             (
                 "what is settled stays undecided on the disk",
@@ -1340,6 +1366,7 @@
                 "self.changed.add(old)",
                 "pass",
                 ("whole",),
+                (6,),
             ),
             (
                 "a write holds no slots",
@@ -1347,6 +1374,7 @@
                 "for v in acceptor.changed",
                 "for v in ()",
                 ("told rests on the disk", "own rests on the disk", "whole"),
+                (),
             ),
             (
                 "a write leaves the seal out",
@@ -1354,6 +1382,7 @@
                 "None if acceptor.sealed is None else pack_epoch(acceptor.sealed)",
                 "None",
                 ("told rests on the disk", "own rests on the disk", "whole"),
+                (2,),
             ),
             (
                 "a write does not say who is installed",
@@ -1361,6 +1390,7 @@
                 '"installed": acceptor.installed,',
                 '"installed": False,',
                 ("never back", "whole"),
+                (),
             ),
         )
     ),
--- a/meadowworks/check/models/replica.py
+++ b/meadowworks/check/models/replica.py
@@ -135,7 +135,7 @@
             made.installed = made.epoch.has(made.disk)
             disk.save(Replica(made, 1, half).collect())
             assert disk.meta is not None
-            disk.meta["installed"] = made.installed  # as a disk is that was written before any fault
+            disk.meta |= {"installed": made.installed, "life": 1}  # as it was written before any fault
             self.boxes.append(Replica(disk.acceptor(str(k)), 1, half))
             self.boxes[k].start(NOW)
             self.settle(k)
