A fault for 'one content' of the timetable, which the shorter 'lasts' had hidden

Cause: tests/test_check asks that each property is the one that some fault is found by; since a shorter path to 'lasts' was found, none was by 'one content'. Change: 'less than a majority accepts' is asked for that property alone.

--- a/meadowworks/check/faults.py
+++ b/meadowworks/check/faults.py
@@ -884,7 +884,7 @@
                 REGISTER + "Proposer.heard",
                 "if len(self.accepts) < self.epoch.majority:",
                 "if len(self.accepts) < self.epoch.majority - 1:",
-                CONTENT,
+                ("one content",),
                 (0,),
             ),
             (
