--- a/meadowworks/commands.py
+++ b/meadowworks/commands.py
@@ -9,6 +9,7 @@
 
 WORDS = {
     "check": ("meadowworks.check.commands", "check", "explore the machines whole in small worlds"),
+    "days": ("meadowworks.lab.regression", "days", "play the days of our own by the users' bench"),
     "lab": ("meadowworks.lab.commands", "lab", "measure the product's own machines"),
     "local": ("meadowworks.local.commands", "local", "start a small gateway on this machine, to try it"),
     "status": ("meadowworks.operate.commands", "status", "what a controller of the gateway knows"),
--- /dev/null
+++ b/meadowworks/lab/regression.py
@@ -0,0 +1,125 @@
+"""`meadowworks days SITE --bench PATH`: the days of our own (`lab/days/*.toml`), played by the users' bench.
+
+A day is a TOML file in the form of a site's `[[day]]`; it names no zone, service or address, so it plays on
+any site. One line a day is printed as the day ends: what was played stands when the rest is broken off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import tempfile
+import tomllib
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+from cappa import Arg
+
+from meadowworks.commands import Bad
+
+FOLDER = Path(__file__).parent / "days"
+JOBS_MOST = 8
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """How one day went: `held` if it was played to its end, broke no rule and passed its gate."""
+
+    name: str
+    held: bool
+    words: str
+
+
+def named(folder: Path, only: Sequence[str]) -> list[Path]:
+    """The files of the days asked for, all without names, in order of their names. Raises Bad for a name that
+    there is not, and for a file that can't be read or says another name than its own."""
+    files = {file.stem: file for file in sorted(folder.glob("*.toml"))}
+    if unknown := [name for name in only if name not in files]:
+        raise Bad(f"there is no day {unknown[0]!r}: there are {', '.join(files)}")
+    for name, file in files.items():
+        try:
+            said = tomllib.loads(file.read_text("utf-8")).get("name")
+        except (OSError, ValueError) as trouble:
+            raise Bad(f"{file}: {trouble}") from None
+        if said != name:
+            raise Bad(f"{file} says the name {said!r}")
+    return [file for name, file in files.items() if not only or name in only]
+
+
+def judge(name: str, report: Mapping[str, Any]) -> Outcome:
+    """What the bench's report of a day says: broken rules, else a fault, else what the gate lacks, else its
+    worth (0 to 1, before prices)."""
+    if broken := report.get("breaks"):
+        rules = ", ".join(f"{rule} {times}" for rule, times in broken.items())
+        return Outcome(name, False, f"BROKEN {rules}")
+    if report.get("fault"):
+        return Outcome(name, False, f"FAULT {report['fault']}")
+    if report.get("short"):
+        return Outcome(name, False, "GATE failed: " + ", ".join(map(str, report["short"])))
+    return Outcome(name, True, f"passed, worth {report['served']:.3f}")
+
+
+async def play(bench: Path, site: Path, file: Path, why: str) -> Outcome:
+    """One day by one process of the bench, which is ended with it. The journal entry is the bench's own."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        words = ["run", str(site), str(file), "--jobs", "1", "--why", why, "--report", str(report)]
+        try:
+            run = await asyncio.create_subprocess_exec(
+                str(bench), *words, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT
+            )
+        except OSError as trouble:
+            return Outcome(file.stem, False, f"not played: {trouble}")
+        try:
+            said = (await run.communicate())[0].decode(errors="replace").split("\n")
+        finally:
+            if run.returncode is None:
+                run.terminate()
+                await run.wait()
+        lines = [line for line in said if line.strip()]
+        if not report.exists():
+            why = lines[-1] if lines else "the bench says nothing"
+            return Outcome(file.stem, False, f"not played: {why}")
+        found = judge(file.stem, json.loads(report.read_text("utf-8")))
+    snapshot = next((line for line in lines if line.startswith("snapshot ")), "no snapshot")
+    return Outcome(found.name, found.held, f"{found.words}; {snapshot}")
+
+
+async def play_all(bench: Path, site: Path, files: Sequence[Path], jobs: int, why: str) -> int:
+    """Plays `jobs` days at a time and prints one line as each ends. Gives how many did not hold."""
+    room = asyncio.Semaphore(jobs)
+
+    async def one(file: Path) -> bool:
+        async with room:
+            outcome = await play(bench, site, file, why)
+        print(f"{outcome.name:20} {site.stem:20} {outcome.words}", flush=True)
+        return outcome.held
+
+    async with asyncio.TaskGroup() as group:
+        played = [group.create_task(one(file)) for file in files]
+    return sum(not task.result() for task in played)
+
+
+def days(
+    site: Annotated[str, Arg(help="the site's TOML file")],
+    bench: Annotated[str, Arg(long=True, help="the users' fleetbench; it plays the folder it is run in")],
+    only: Annotated[list[str] | None, Arg(long=True, help="one day by its name; may be given again")] = None,
+    jobs: Annotated[int, Arg(long=True, help=f"days at a time, 1 to {JOBS_MOST}")] = 2,
+    why: Annotated[str, Arg(long=True, help="a line for the bench's journal")] = "days of our own",
+) -> int:
+    """Plays the days of our own on a site. Status 0 if all hold, 1 if a rule was broken, a gate was missed or
+    a day could not be played."""
+    if not 1 <= jobs <= JOBS_MOST:
+        raise Bad(f"{jobs} days at a time: 1 to {JOBS_MOST}")
+    for file in (site, bench):
+        if not Path(file).is_file():
+            raise Bad(f"there is no file {file}")
+    if not os.access(bench, os.X_OK):
+        raise Bad(f"{bench} is no program")
+    files = named(FOLDER, only or [])
+    failed = asyncio.run(play_all(Path(bench).resolve(), Path(site), files, jobs, why))
+    print(f"{len(files)} days on {Path(site).stem}, {failed} that did not hold")
+    return 1 if failed else 0
--- /dev/null
+++ b/tests/test_regression.py
@@ -0,0 +1,95 @@
+"""The days of our own and the word that plays them, with a stand-in for the bench."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from meadowworks.commands import main
+from meadowworks.lab.regression import FOLDER
+
+POINTS = ("cut-", "race-", "loss-", "storm-", "answers-")
+KINDS = """release replace_with_reuse scale_in answer_lost garble node_kill roll_term herd_kill replace_core
+seed_turnover after_ack_kill after_ack_wipe core_cut node_cut config_change config_race bad_config big_config
+burst srv_grey srv_lying_health srv_flap srv_crash srv_slow idle_race disk_stall hup clock_step config_storm
+scale_out""".split()
+REPORTS = {
+    "cut-both": {"breaks": {"CONFIG": 2, "TWICE": 1}, "served": 0.9},
+    "cut-seeds": {"breaks": {}, "fault": "too slow", "served": 0.0},
+    "cut-reset": {"breaks": {}, "fault": None, "short": ["acks"], "served": 0.9},
+    "cut-one-way": {"breaks": {}, "fault": None, "short": [], "served": 0.95},
+}
+BENCH = f"""#!{sys.executable}
+import json, pathlib, sys
+name = pathlib.Path(sys.argv[3]).stem
+report = {REPORTS!r}.get(name)
+if report is None:
+    print("fleetbench: the day can't be read")
+else:
+    pathlib.Path(sys.argv[sys.argv.index("--report") + 1]).write_text(json.dumps(report))
+    print("snapshot 0a1b2c3d")
+"""
+
+
+def play(folder: Path, *words: str) -> int:
+    site, bench = folder / "small.toml", folder / "bench"
+    site.write_text("")
+    bench.write_text(BENCH)
+    bench.chmod(0o700)
+    return main(["days", str(site), "--bench", str(bench), *words])
+
+
+def test_the_days_hold_each_point_three_times_and_every_kind() -> None:
+    days = [tomllib.loads(file.read_text()) for file in FOLDER.glob("*.toml")]
+    for point in POINTS:
+        assert sum(day["name"].startswith(point) for day in days) >= 3, point
+    entries = [entry for day in days for entry in day["plan"] + day["faults"]]
+    assert {entry["kind"] for entry in entries} == set(KINDS)
+    assert not [entry for entry in entries if {"zone", "to_zone", "service", "class"} & set(entry)]
+    closings = [day["closing"] for day in days]
+    assert any(c["kind"] == "wipe_after_ack" and c.get("how") == "timed" for c in closings)
+    assert len({day["seed"] for day in days}) == len(days)
+
+
+@pytest.mark.parametrize(
+    ("name", "status", "line"),
+    [
+        ("cut-one-way", 0, "passed, worth 0.950; snapshot 0a1b2c3d"),
+        ("cut-both", 1, "BROKEN CONFIG 2, TWICE 1; snapshot 0a1b2c3d"),
+        ("cut-seeds", 1, "FAULT too slow; snapshot 0a1b2c3d"),
+        ("cut-reset", 1, "GATE failed: acks; snapshot 0a1b2c3d"),
+        ("race-cut", 1, "not played: fleetbench: the day can't be read"),
+    ],
+)
+def test_each_end_of_a_day_is_one_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], name: str, status: int, line: str
+) -> None:
+    assert play(tmp_path, "--only", name) == status
+    said = capsys.readouterr().out.splitlines()
+    assert said[0].split(None, 2) == [name, "small", line]
+    assert said[1:] == [f"1 days on small, {status} that did not hold"]
+
+
+def test_all_are_played_with_bounded_jobs(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert play(tmp_path, "--jobs", "4") == 1
+    names = {line.split()[0] for line in capsys.readouterr().out.splitlines()[:-1]}
+    assert names == {file.stem for file in FOLDER.glob("*.toml")}
+
+
+@pytest.mark.parametrize("words", [["--only", "none"], ["--jobs", "0"], ["--jobs", "99"], ["--jobs", "x"]])
+def test_bad_input_is_one_line_and_status_2(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], words: list[str]
+) -> None:
+    assert play(tmp_path, *words) == 2
+    said = capsys.readouterr()
+    assert said.out == "" and said.err.count("\n") == 1
+
+
+def test_a_bench_or_site_that_is_not_there_is_status_2(tmp_path: Path) -> None:
+    assert main(["days", str(tmp_path / "site.toml"), "--bench", sys.executable]) == 2
+    (tmp_path / "site.toml").write_text(json.dumps({}))
+    assert main(["days", str(tmp_path / "site.toml"), "--bench", str(tmp_path / "site.toml")]) == 2
