A response without a length is complete at an orderly end of its connection

Cause: every response with neither a length nor chunks was dropped, since its end was not told from a reset. A whole response was lost: an unsafe request got 502, a safe one was sent again. Change: `BufferedStream.read` raises at a reset or a connection that is given up, so a response without a length is complete where its connection ends in order (RFC 9112, 6.3) and broken where it is reset.

--- a/meadowworks/runtime/buffered_stream.py
+++ b/meadowworks/runtime/buffered_stream.py
@@ -15,6 +15,7 @@
         self._transport: Any = None
         self._buffer = bytearray()
         self._at_eof = False
+        self._error: Exception | None = None
         self._read_waiter: asyncio.Future[None] | None = None
 
     @property
@@ -52,9 +53,10 @@
         self._wake_reader()
         return False
 
-    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
-        """Note the end of the connection, for whatever reason."""
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection, and whether it was an orderly one."""
         self._at_eof = True
+        self._error = exc
         self._wake_reader()
 
     # -- httpcore.AsyncNetworkStream
@@ -62,7 +64,8 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:  # noqa: ARG002
         """Wait for bytes.
 
-        :returns: at most `max_bytes`; none at the end of the connection.
+        :returns: at most `max_bytes`; none once the peer has ended the connection in order.
+        :raises httpcore.ReadError: if the connection was reset, or given up: more bytes may have been due.
         """
         while not self._buffer and not self._at_eof:
             self._read_waiter = asyncio.get_running_loop().create_future()
@@ -70,6 +73,9 @@
                 await self._read_waiter
             finally:
                 self._read_waiter = None
+        if not self._buffer and self._error is not None:
+            # Guards against a response without a length that looks complete where it was cut off.
+            raise httpcore.ReadError(str(self._error))
         data = bytes(self._buffer[:max_bytes])
         del self._buffer[:max_bytes]
         return data
--- a/meadowworks/runtime/http_connection.py
+++ b/meadowworks/runtime/http_connection.py
@@ -29,13 +29,12 @@
 # How long sent bytes may stay unacknowledged: guards against a peer that is unreachable or without power.
 # Above any retransmission on a network that works, below the time in which operators expect a fail-over.
 USER_TIMEOUT_MS = 2000
-BODILESS_STATUSES = (204, 304)  # RFC 9110, section 6.4.1: such responses end with their headers
 BROKEN = (httpcore.ProtocolError, httpcore.NetworkError, OSError, h11.ProtocolError)
 
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A complete response: its body came to the length announced, or to its last chunk."""
+    """A complete response: its body came to its length, its last chunk, or an orderly end of the connection."""
 
     status: int
     headers: Headers
@@ -115,9 +114,10 @@
 
         :param max_body_bytes: that the response's body may have.
         :param reserve_memory: asked for the bytes of each part of the body; False if there is no memory left.
-        :raises ConnectionBrokenError: if the connection ends, or HTTP/1.1 is violated.
-        :raises IncompleteResponseError: if the response has neither a length nor chunks: its end looks like
-            a broken connection.
+        A response with neither a length nor chunks is complete if the peer ends the connection in order
+        (RFC 9112, section 6.3); one that is cut by a reset is not.
+
+        :raises ConnectionBrokenError: if the connection ends too early, or HTTP/1.1 is violated.
         :raises ResponseTooLargeError: if the body is too large, or there is no memory for it.
         """
         url = httpcore.URL(scheme=b"http", host=self._origin.host, port=self._origin.port, target=target)
@@ -134,9 +134,9 @@
         except BaseException:
             self.close()
             raise
-        if not complete or not _has_end_of_its_own(method, response):
+        if not complete:
             self.close()
-            raise IncompleteResponseError("a response without a length or a last chunk")
+            raise IncompleteResponseError("a response without its end")
         self._after_response()
         return Response(response.status, response.headers, content)
 
@@ -164,14 +164,6 @@
     return b"".join(chunks)
 
 
-def _has_end_of_its_own(method: bytes, response: httpcore.Response) -> bool:
-    """Whether the end of the response differs from a broken connection."""
-    if method == b"HEAD" or response.status in BODILESS_STATUSES:
-        return True
-    names = [name.lower() for name, _ in response.headers]
-    return b"content-length" in names or b"transfer-encoding" in names
-
-
 async def connect(
     host: str, port: int, timeout_s: float, user_timeout_ms: int = USER_TIMEOUT_MS
 ) -> ClientConnection:
