check carriage: an answer without a length, ended in order and by a reset

Change: two steps, a whole response that ends in order and one reset in its body (resets carry their error, as asyncio hands it over); the seeded fault is now the guard in `BufferedStream.read`.

--- a/meadowworks/modelcheck/models/http_connection_scenarios.py
+++ b/meadowworks/modelcheck/models/http_connection_scenarios.py
@@ -80,8 +80,9 @@
             return f"line {k} falls silent {CUT_PLACES[where]}"
         case "rest", [k]:
             return f"the rest of that answer comes on line {k} after all"
-        case "endless", [k]:
-            return f"on line {k} an answer without a length ends in the midst of its body"
+        case "endless", [k, whole]:
+            end = "in order, at its end" if whole else "by a reset, in the midst of its body"
+            return f"on line {k} an answer without a length ends with its connection {end}"
         case "extra", [k, status, named]:
             name = "" if named else ", without a name,"
             return f"an answer {status!r} to the call before{name} comes on line {k}"
--- a/meadowworks/modelcheck/models/http_connections.py
+++ b/meadowworks/modelcheck/models/http_connections.py
@@ -334,7 +334,7 @@
             if self.faults_left:
                 found += [("reset", k, where) for where in self.scenario.cut_places]
                 found += [("silence", k, where) for where in self.scenario.cut_places if 0 < where < 4]
-                found.append(("endless", k))
+                found += [("endless", k, whole) for whole in (0, 1)]
         if self.surplus_left and len(transport.requests) > bool(transport.pending_request()):
             found += self.surplus_steps(k, transport)
         return found
@@ -404,7 +404,7 @@
             transport.newest_promised_not_run = promised
             transport.answered_count -= 1
         transport.is_open = False
-        transport.stream.connection_lost(None)
+        transport.stream.connection_lost(ConnectionResetError("reset"))
 
     def do_silence(self, k: int, where: int) -> None:
         """A response stops in its midst."""
@@ -419,14 +419,14 @@
         rest, transport.unsent = transport.unsent, b""
         transport.feed(rest)
 
-    def do_endless(self, k: int) -> None:
-        """A response without a length ends with its connection, in the midst of its body."""
+    def do_endless(self, k: int, whole: int) -> None:
+        """A response without a length ends with its connection: in order, or by a reset in its body."""
         self.faults_left -= 1
         transport = self.transports[k]
         data, head = self.respond(transport, framed=False)
-        transport.feed(data[: head + 3])
+        transport.feed(data if whole else data[: head + 3])
         transport.is_open = False
-        transport.stream.connection_lost(None)
+        transport.stream.connection_lost(None if whole else ConnectionResetError("reset"))
 
     def do_extra(self, k: int, status: str, named: int) -> None:
         """A response to an earlier call comes."""
--- a/meadowworks/modelcheck/seeded_faults/upstream.py
+++ b/meadowworks/modelcheck/seeded_faults/upstream.py
@@ -36,9 +36,9 @@
             IDLE,
         ),
         (
-            "an answer without a length ends with its connection",
-            CONNECTION + "request",
-            "if not complete or not _has_end_of_its_own(method, response):",
+            "a reset is taken for the end of an answer without a length",
+            "meadowworks.runtime.buffered_stream:BufferedStream.read",
+            "if not self._buffer and self._error is not None:",
             "if False:",
             ("wrong caller",),
             FAULTS,
--- a/meadowworks/runtime/http_connection.py
+++ b/meadowworks/runtime/http_connection.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A complete response: its body came to its length, its last chunk, or an orderly end of the connection."""
+    """A complete response: its body came to its length, its last chunk, or its connection's orderly end."""
 
     status: int
     headers: Headers
