The route is looked up at the headers; a body is bound by the earlier deadline

Cause: the route was looked up behind the body, which was bound by the client's time or 30 s, and its first part by nothing but the idle time. Half a body with a client that waits for 9 s was answered after 9 s though its route allows 2 s. The time began when the handler ran, not when the headers had been read. Change: the handler finds the route first and reads the body until the earlier of the client's time and the route's `deadlineMs`, both counted from the end of the headers (also behind a request before it on its connection); `read_body` bounds the first part too. A request without a route is answered at once. Result: six tests fail on the code before and pass now.

--- a/meadowworks/proxy/request_handler.py
+++ b/meadowworks/proxy/request_handler.py
@@ -25,8 +25,6 @@
 from meadowworks.runtime.server_connection import HttpConnection
 
 MS, SECOND = 1_000_000, 1_000_000_000
-# How long a body in chunks may take, if its client names no time.
-BODY_TIMEOUT_S = 30.0
 # Responses of the proxy's own. In 300 ms a node with a lease is found, if there is one; in a second other
 # requests have given memory back.
 NOT_CONFIGURED = RejectRequest(503, 300 * MS)
@@ -47,6 +45,7 @@
     request_id: bytes | None  # X-Request-Id
     deadline: bytes | None  # X-Deadline-Ms
     connection: HttpConnection | None  # the client's, unless it has gone already
+    received_ns: int  # when the headers had been read, by the steady clock
 
     @property
     def path(self) -> str:
@@ -77,9 +76,15 @@
         request_id,
         deadline,
         scope.get("connection"),
+        scope["received_ns"],
     )
 
 
+def time_limit_ms(route: Route, head: RequestHead) -> float:
+    """How long the request may take: the operator's limit, or the client's if that is less."""
+    return min(route.deadline_ms, parse_ms(head.deadline, route.deadline_ms))
+
+
 class RequestHandler:
     """Serves the requests of all clients."""
 
@@ -94,36 +99,29 @@
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request; an ASGI application."""
-        received_ns = now_ns()
         table = self._view.route_table
         if table is None:
             return await self._reject(send, NOT_CONFIGURED)
         head = read_head(scope)
-        body = await self._read_body(receive, head, table)
-        if isinstance(body, BodyError):
-            return await self._reject_body(send, body)
         route = table.find_route(head.host, head.path)
         if route is None:
             return await self._reject_route(send)
+        deadline_ns = head.received_ns + int(time_limit_ms(route, head) * MS)
+        body = await self._read_body(receive, table, deadline_ns)
+        if isinstance(body, BodyError):
+            return await self._reject_body(send, body)
         if head.client_gone:
             return self._counters.increment(names.CLIENT_GONE)
         with MemoryReservation(self._memory) as memory:
             if not memory.reserve(len(body)):
                 return await self._reject(send, OUT_OF_MEMORY)
-            context = self._context(route, head, received_ns, memory)
+            context = ClientContext(deadline_ns, memory, head.connection)
             await self._exchange(send, route, table, head, body, context)
         return None
 
-    async def _read_body(self, receive: Receive, head: RequestHead, table: RouteTable) -> bytes | BodyError:
-        timeout_s = min(BODY_TIMEOUT_S, parse_ms(head.deadline, BODY_TIMEOUT_S * 1000) / 1000)
-        return await read_body(receive, table.max_body_bytes, self._memory, timeout_s)
-
-    def _context(
-        self, route: Route, head: RequestHead, received_ns: int, memory: MemoryReservation
-    ) -> ClientContext:
-        """Who waits for the response, and until when."""
-        limit_ms = min(route.deadline_ms, parse_ms(head.deadline, route.deadline_ms))
-        return ClientContext(received_ns + int(limit_ms * MS), memory, head.connection)
+    async def _read_body(self, receive: Receive, table: RouteTable, deadline_ns: int) -> bytes | BodyError:
+        time_left_s = (deadline_ns - now_ns()) / SECOND
+        return await read_body(receive, table.max_body_bytes, self._memory, time_left_s)
 
     def _pick_service(self, route: Route, request_id: bytes | None) -> str:
         """A service of the route by weight; the same one for retries of the client, which keep their id."""
--- a/meadowworks/runtime/request_body.py
+++ b/meadowworks/runtime/request_body.py
@@ -73,21 +73,21 @@
 ) -> bytes | BodyError:
     """Read the body of a request.
 
-    A body that comes at once costs nothing; one that comes in parts reserves memory until it is complete.
+    A body that comes in parts reserves memory until it is complete.
 
     :param max_bytes: that the body may have.
     :param memory: what the parts are reserved from; released when this returns.
-    :param timeout_s: for all of the parts after the first.
+    :param timeout_s: for all of the body.
     """
-    message = await receive()
-    body: bytes = message.get("body", b"")
-    if not _is_request(message):
-        return BodyError.DISCONNECTED
-    if not message.get("more_body"):
-        return body if len(body) <= max_bytes else BodyError.TOO_LARGE
     reservation = _Reservation(memory)
     try:
         async with asyncio.timeout(timeout_s):
+            message = await receive()
+            body: bytes = message.get("body", b"")
+            if not _is_request(message):
+                return BodyError.DISCONNECTED
+            if not message.get("more_body"):
+                return body if len(body) <= max_bytes else BodyError.TOO_LARGE
             return await _read_parts(receive, body, max_bytes, reservation)
     except TimeoutError:
         return BodyError.TIMED_OUT
--- a/meadowworks/runtime/server_connection.py
+++ b/meadowworks/runtime/server_connection.py
@@ -10,6 +10,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
+from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.connection_limit import ConnectionLimit
 from meadowworks.runtime.lingering_transport import LingeringTransport
 
@@ -156,6 +157,7 @@
             return
         self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
         self.scope["connection"] = self  # type: ignore[typeddict-unknown-key]
+        self.scope["received_ns"] = now_ns()  # type: ignore[typeddict-unknown-key]
         self._previous_cycle = self.cycle
         if self.cycle is not None and not self.cycle.response_complete:
             if not self._is_owed_a_response(self.cycle):
--- a/tests/gateway/test_request_body.py
+++ b/tests/gateway/test_request_body.py
@@ -40,6 +40,17 @@
     assert memory.reserved_bytes == 0
 
 
+def test_a_body_of_which_nothing_comes_times_out() -> None:
+    async def main() -> None:
+        async def receive_nothing() -> Any:
+            return await asyncio.get_running_loop().create_future()
+
+        async with asyncio.timeout(1):
+            assert await read_body(receive_nothing, 500, timeout_s=0.01) is BodyError.TIMED_OUT
+
+    asyncio.run(main())
+
+
 def test_a_body_that_stops_coming_times_out_and_releases_its_memory() -> None:
     async def main() -> None:
         memory = MemoryBudget(100)
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -5,10 +5,15 @@
 import asyncio
 import json
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
+from meadowworks.config.route_table import Route, RouteTable, WeightedService
+from meadowworks.forwarding.memory_budget import MemoryBudget
+from meadowworks.proxy.counters import ProxyCounters
+from meadowworks.proxy.request_handler import RequestHandler
 from meadowworks.runtime import node_settings
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.http_connection import connect
@@ -147,3 +152,46 @@
         assert failed == [2]
 
     fleet.run(whole())
+
+
+async def respond_without_a_body(path: bytes, route_ms: float, client_ms: bytes | None) -> tuple[int, float]:
+    """The status of a request whose body never comes, and after how many seconds it is answered."""
+    route = Route("r", False, route_ms, 100.0, 0, 1, (WeightedService("s", 1.0),), "/order/")
+    view = SimpleNamespace(
+        route_table=RouteTable(1, {"local.example": {route.prefix: route}}),
+        staleness=SimpleNamespace(is_fresh=lambda _now: True),
+    )
+    handler = RequestHandler(cast(Any, view), cast(Any, None), MemoryBudget(1000), ProxyCounters())
+    headers = [(b"host", b"local.example"), (b"x-request-id", b"q")]
+    if client_ms is not None:
+        headers.append((b"x-deadline-ms", client_ms))
+    scope = {"method": "POST", "target": path, "headers": headers, "received_ns": now_ns()}
+    sent: list[Any] = []
+
+    async def receive() -> Any:
+        return await asyncio.get_running_loop().create_future()
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+
+    began = now_ns()
+    async with asyncio.timeout(5):
+        await handler.handle(cast(Any, scope), receive, send)
+    return sent[0]["status"], (now_ns() - began) / SECOND
+
+
+@pytest.mark.parametrize(
+    ("route_ms", "client_ms"), [(50.0, None), (50.0, b"9000"), (50.0, b"nan"), (9000.0, b"50")]
+)
+def test_a_body_is_waited_for_until_the_earlier_of_two_deadlines(
+    route_ms: float, client_ms: bytes | None
+) -> None:
+    status, took_s = asyncio.run(respond_without_a_body(b"/order/a", route_ms, client_ms))
+    assert status == 408  # the request has not run, and never will
+    assert 0.04 <= took_s < 0.55
+
+
+def test_a_request_without_a_route_is_answered_before_its_body_comes() -> None:
+    status, took_s = asyncio.run(respond_without_a_body(b"/none/a", 9000.0, b"9000"))
+    assert status == 404
+    assert took_s < 0.5
