A backend that does not read is no lost peer; a connection is kept only with nothing unsent

Cause: TCP_USER_TIMEOUT of 2 s also ends a connection whose peer has closed its window (tcp(7)), so a body to a backend that rests for 3 s was given up. A backend that answers before it has read a long body kept its connection in the pool, where the next request waited behind the rest of that body. Unacknowledged segments or unanswered probes for 2 s are a lost peer, a closed window whose probes are answered is not. After the response a connection is kept only if all has been acknowledged, and, whatever the size, only if the process holds no unsent bytes. Where the system tells nothing the attempt's own deadline is the bound.

--- a/meadowworks/modelcheck/models/model_transport.py
+++ b/meadowworks/modelcheck/models/model_transport.py
@@ -81,6 +81,10 @@
 
     close = abort
 
+    def get_write_buffer_size(self) -> int:
+        """Nothing waits: the far side reads at once."""
+        return 0
+
     def get_extra_info(self, name: str) -> Any:  # noqa: ARG002
         """Know nothing of sockets."""
         return None
--- a/meadowworks/runtime/buffered_stream.py
+++ b/meadowworks/runtime/buffered_stream.py
@@ -56,7 +56,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Note the end of the connection, and whether it was an orderly one."""
         self._at_eof = True
-        self._error = exc
+        self._error = self._error or exc
         self._wake_reader()
 
     # -- httpcore.AsyncNetworkStream
@@ -98,6 +98,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def give_up(self, error: Exception) -> None:
+        """Close at once, and let the reader know why."""
+        self._error = error
+        self.close()
+
+    def has_unsent_data(self) -> bool:
+        """Whether bytes have not been handed to the system yet, because the peer does not read."""
+        return bool(self._transport.get_write_buffer_size())
+
     def get_extra_info(self, info: str) -> Any:
         """Return whether an idle connection has ended, which httpcore asks, or a fact of the transport."""
         if info == "is_readable":  # while idle: an end, or bytes that belong to no request
--- a/meadowworks/runtime/http_connection.py
+++ b/meadowworks/runtime/http_connection.py
@@ -23,12 +23,15 @@
     ResponseTooLargeError,
 )
 from meadowworks.runtime.lightweight_httpcore import httpcore
+from meadowworks.runtime.peer_watch import PeerWatch
 
 Headers = list[tuple[bytes, bytes]]
 
 # How long sent bytes may stay unacknowledged: guards against a peer that is unreachable or without power.
 # Above any retransmission on a network that works, below the time in which operators expect a fail-over.
 USER_TIMEOUT_MS = 2000
+# A body above it may fill the window of a peer that does not read: as much as the smallest receive buffers.
+LARGE_BODY_BYTES = 4096
 BROKEN = (httpcore.ProtocolError, httpcore.NetworkError, OSError, h11.ProtocolError)
 
 
@@ -76,8 +79,11 @@
 class ClientConnection:
     """A connection to one address, which carries one request at a time."""
 
-    def __init__(self, stream: BufferedStream, host: str, port: int) -> None:
+    def __init__(
+        self, stream: BufferedStream, host: str, port: int, user_timeout_ms: int = USER_TIMEOUT_MS
+    ) -> None:
         self._stream = stream
+        self._user_timeout_ms = user_timeout_ms
         self._origin = httpcore.Origin(b"http", host.encode(), port)
         self._http11 = MonitoredConnection(self._origin, stream)
         self._reusable = True
@@ -121,6 +127,7 @@
         :raises ResponseTooLargeError: if the body is too large, or there is no memory for it.
         """
         url = httpcore.URL(scheme=b"http", host=self._origin.host, port=self._origin.port, target=target)
+        watch = self._watch_peer() if len(body) > LARGE_BODY_BYTES else None
         try:
             response = await self._http11.handle_async_request(
                 httpcore.Request(method, url, headers=list(headers), content=body)
@@ -134,14 +141,29 @@
         except BaseException:
             self.close()
             raise
+        finally:
+            sending_state = watch.stop() if watch is not None else None
         if not complete:
             self.close()
             raise IncompleteResponseError("a response without its end")
+        if watch is not None and (sending_state is None or not sending_state.all_acknowledged):
+            # Guards against a request that waits behind the rest of a body, which its peer may never read.
+            self.close()
         self._after_response()
         return Response(response.status, response.headers, content)
 
+    def _watch_peer(self) -> PeerWatch | None:
+        sock = self._stream.get_extra_info("socket")
+        if sock is None:
+            return None
+        lost = TimeoutError("the peer acknowledges nothing any more")
+        return PeerWatch(sock, self._user_timeout_ms, lambda: self._stream.give_up(lost))
+
     def _after_response(self) -> None:
         """Keep the connection only if it is as it was before the request."""
+        if self._stream.has_unsent_data():
+            # Guards likewise: the response came before its request had been read.
+            self.close()
         if self._http11.has_surplus_data or self._stream.buffer:
             # Guards against bytes that belong to no request: the next caller would take them for its own.
             self.close()
@@ -182,7 +204,7 @@
     except OSError as error:
         raise ConnectError(f"no connection to {host}:{port}: {error}") from None
     _set_socket_options(transport.get_extra_info("socket"), user_timeout_ms)
-    return ClientConnection(stream, host, port)
+    return ClientConnection(stream, host, port, user_timeout_ms)
 
 
 def _set_socket_options(sock: socket.socket, user_timeout_ms: int) -> None:
--- /dev/null
+++ b/tests/gateway/test_peer_watch.py
@@ -0,0 +1,159 @@
+"""`runtime.peer_watch`, `runtime.tcp_info`: a peer that does not read is not lost, one that is cut off is."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from meadowworks.runtime.clock import now_ns
+from meadowworks.runtime.errors import ConnectionBrokenError
+from meadowworks.runtime.http_connection import connect
+from meadowworks.runtime.tcp_info import TcpInfo, read_tcp_info
+from tests.gateway.helpers import SECOND, until
+
+SO_ATTACH_FILTER = 26  # asm-generic/socket.h
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+USER_TIMEOUT_MS = 600  # short, so that the tests are
+LARGE_BODY = b"x" * 6_000_000  # more than all buffers of the system take
+SMALL_BODY = b"x" * 100
+
+Peer = Callable[[socket.socket], Awaitable[None]]
+
+
+def cut_off(sock: socket.socket) -> None:
+    """Let nothing arrive at a socket any more: as a cut cable, it acknowledges nothing."""
+    drop_all = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))  # BPF: return 0
+    sock.setsockopt(
+        socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HxxxxxxP", 1, ctypes.addressof(drop_all))
+    )
+
+
+async def request_to(peer: Peer, body: bytes) -> tuple[bool, ConnectionBrokenError | None, float]:
+    """Send a request to a peer that does as told.
+
+    :returns: whether the connection may be used again, how the request failed if it did, and its seconds.
+    """
+    loop = asyncio.get_running_loop()
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        host, port = listener.getsockname()
+        connection = await connect(host, port, 2.0, USER_TIMEOUT_MS)
+        accepted, _ = await loop.sock_accept(listener)
+        accepted.setblocking(False)
+        served, began = asyncio.ensure_future(peer(accepted)), now_ns()
+        headers = [(b"host", b"h"), (b"content-length", str(len(body)).encode())]
+        error: ConnectionBrokenError | None = None
+        try:
+            await asyncio.sleep(0)  # a peer that is cut off is so before the request leaves
+            async with asyncio.timeout(8):
+                await connection.request(b"POST", b"/", headers, body, 100)
+        except ConnectionBrokenError as broken:
+            error = broken
+        took_s = (now_ns() - began) / SECOND
+        usable = connection.usable()
+        served.cancel()
+        accepted.close()
+        connection.close()
+        return usable, error, took_s
+
+
+async def read_whole(sock: socket.socket, expected: int) -> int:
+    loop, read = asyncio.get_running_loop(), 0
+    while read < expected and (data := await loop.sock_recv(sock, 1 << 20)):
+        read += len(data)
+    return read
+
+
+def test_a_peer_that_reads_a_large_body_late_is_not_lost() -> None:
+    async def rests(sock: socket.socket) -> None:
+        await asyncio.sleep(3 * USER_TIMEOUT_MS / 1000)  # it reads nothing: its window is closed
+        await read_whole(sock, len(LARGE_BODY))
+        await asyncio.get_running_loop().sock_sendall(sock, OK)
+
+    usable, error, _ = asyncio.run(request_to(rests, LARGE_BODY))
+    assert error is None
+    assert usable
+
+
+@pytest.mark.parametrize("body", [SMALL_BODY, LARGE_BODY], ids=["small", "large"])
+def test_a_cut_is_found_in_the_time_out(body: bytes) -> None:
+    async def is_cut(sock: socket.socket) -> None:
+        cut_off(sock)
+
+    usable, error, took_s = asyncio.run(request_to(is_cut, body))
+    assert error is not None
+    assert error.may_have_run
+    assert USER_TIMEOUT_MS / 1000 <= took_s < 3 * USER_TIMEOUT_MS / 1000
+    assert not usable
+
+
+def test_a_cut_behind_a_closed_window_is_found() -> None:
+    async def rests_and_is_cut(sock: socket.socket) -> None:
+        await asyncio.sleep(USER_TIMEOUT_MS / 2000)
+        cut_off(sock)
+
+    _, error, took_s = asyncio.run(request_to(rests_and_is_cut, LARGE_BODY))
+    assert error is not None
+    assert took_s < 5  # its probes come further and further apart
+
+
+def test_a_connection_whose_body_is_not_read_yet_is_not_kept() -> None:
+    async def answers_early(sock: socket.socket) -> None:
+        await asyncio.get_running_loop().sock_sendall(sock, OK)
+        await asyncio.sleep(3)
+
+    usable, error, _ = asyncio.run(request_to(answers_early, LARGE_BODY))
+    assert error is None
+    assert not usable
+
+
+def test_a_connection_whose_body_lies_in_the_systems_buffer_is_not_kept() -> None:
+    body = b"x" * 200_000  # the system takes it, and the peer's window does not
+
+    async def answers_early(sock: socket.socket) -> None:
+        await asyncio.get_running_loop().sock_sendall(sock, OK)
+        await asyncio.sleep(3)
+
+    usable, error, _ = asyncio.run(request_to(answers_early, body))
+    assert error is None
+    assert not usable
+
+
+@pytest.mark.parametrize(
+    ("info", "lost"),
+    [
+        (TcpInfo(0, 0, 9000, 0), False),  # idle
+        (TcpInfo(0, 2, 1999, 0), False),
+        (TcpInfo(0, 2, 2000, 0), True),
+        (TcpInfo(0, 0, 9000, 5000), False),  # the next probe of the closed window is due later
+        (TcpInfo(1, 0, 9000, 5000), False),  # it may have been answered
+        (TcpInfo(2, 0, 1999, 5000), False),
+        (TcpInfo(2, 0, 2000, 5000), True),
+    ],
+)
+def test_only_what_waits_for_an_answer_shows_that_a_peer_is_lost(info: TcpInfo, lost: bool) -> None:
+    assert info.peer_is_lost(2000) == lost
+
+
+def test_the_state_of_a_connection_is_read_from_the_system() -> None:
+    async def main() -> None:
+        server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
+        with socket.create_connection(server.sockets[0].getsockname()) as sock:
+            sock.sendall(b"x")
+            await until(lambda: bool((info := read_tcp_info(sock)) and info.all_acknowledged), "taken")
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_a_socket_that_is_no_tcp_connection_tells_nothing() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        assert read_tcp_info(sock) is None
