Nothing is sent for a client that has gone; its end is seen behind requests read ahead

Cause: an unsafe request whose connection to the backend came up after its client had gone was still sent (up to 1 s later). uvicorn stops reading while a request waits behind another, so the end of such a connection was not seen. A header or body that came too late behind a request at work cut that one's response. Change: `send_attempt` looks at the client once the connection is up and ends as "not run"; up to 8 requests are read ahead (a large body still stops the reading); the deadline of what is being read lets complete requests before it be answered.

--- a/meadowworks/proxy/forwarder.py
+++ b/meadowworks/proxy/forwarder.py
@@ -60,6 +60,10 @@
     memory: MemoryReservation
     connection: HttpConnection | None
 
+    def has_gone(self) -> bool:
+        """Whether nobody waits for the response any more."""
+        return self.connection is not None and self.connection.disconnected
+
 
 class Forwarder:
     """Has requests answered by backends."""
@@ -120,7 +124,9 @@
         load_before = self._pool.load(instance_id).estimate(now_ns(), same_zone)
         if not same_zone:
             self.counters.increment(names.CROSS_ZONE_ATTEMPTS)
-        result = await send_attempt(self._pool, backend, request, client.deadline_ns, client.memory.reserve)
+        result = await send_attempt(
+            self._pool, backend, request, client.deadline_ns, client.memory.reserve, client.has_gone
+        )
         self._reporter.record_attempt(instance_id, result)
         if result.outcome == ANSWERED and result.response is not None:
             self._record_response(backend, result.response, result.elapsed_ns, load_before)
--- a/meadowworks/proxy/upstream_attempt.py
+++ b/meadowworks/proxy/upstream_attempt.py
@@ -71,11 +71,13 @@
     request: UpstreamRequest,
     deadline_ns: int,
     reserve: Callable[[int], bool] | None = None,
+    client_gone: Callable[[], bool] = lambda: False,
 ) -> AttemptResult:
     """Send a request to a backend. Raises nothing but a cancellation; its connection is released or closed.
 
     :param deadline_ns: when the client's time is over; it is sent to the backend
     :param reserve: reserves memory for each chunk of the response; without it the response is cut off
+    :param client_gone: whether nobody waits for the response any more
     """
     started_ns = now_ns()
     load = pool.load(backend.instance_id)
@@ -88,6 +90,10 @@
         if connection is None:
             timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, (deadline_ns - started_ns) / 1e9))
             connection = await connect(backend.host, backend.port, timeout_s)
+            if client_gone():
+                # Guards against work for nobody, above all an order that nobody waits for any more.
+                connection.close()
+                return AttemptResult(NEVER_RAN, None, now_ns() - started_ns)
         response = await connection.request(
             request.method,
             request.request_target,
--- a/meadowworks/runtime/server_connection.py
+++ b/meadowworks/runtime/server_connection.py
@@ -18,6 +18,8 @@
 CALL_ID_HEADER = b"x-question"
 INCARNATION_HEADER = b"x-life"
 MAX_PIPELINED_REQUESTS = 16  # that wait for a response: more than clients that pipeline at all send
+# Up to as many are read ahead: while bytes are read, the end of the connection is seen.
+READ_AHEAD_REQUESTS = 8
 HEADER_LINE_OVERHEAD = 4  # bytes beside a header's name and value: ": " and the end of the line
 
 
@@ -165,6 +167,10 @@
                 return
             self._has_pipelined = True
         super().on_headers_complete()
+        if self.pipeline and len(self.pipeline) < READ_AHEAD_REQUESTS:
+            # uvicorn reads nothing more until the response is complete. Guards against work for a client that
+            # has gone, which would not be seen then; a body that is large still stops the reading.
+            self.flow.resume_reading()
         self._prepare_response()
 
     def on_body(self, body: bytes) -> None:
@@ -280,7 +286,8 @@
             self._deadline = None
 
     def _on_deadline(self) -> None:
-        if not self.transport.is_closing():
+        """Close, but not before the responses of complete requests that came ahead of what is late."""
+        if not self.transport.is_closing() and not self._close_after_pending():
             self.transport.close()
 
     def _now_ns(self) -> int:
--- a/meadowworks/runtime/tcp_info.py
+++ b/meadowworks/runtime/tcp_info.py
@@ -1,4 +1,4 @@
-"""What Linux knows of a TCP connection (`TCP_INFO`, tcp(7)): whether its peer lives, and what it has taken."""
+"""What Linux knows of a TCP connection (`TCP_INFO`, tcp(7)): whether its peer lives, what it has taken."""
 
 from __future__ import annotations
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +15,7 @@
 from meadowworks.runtime.request_body import read_body
 from meadowworks.runtime.response_writer import send_response
 from meadowworks.runtime.server_connection import RequestLimits
+from tests.gateway.helpers import until
 
 LIMITS = RequestLimits(max_header_bytes=4000, header_timeout_s=0.2, idle_timeout_s=0.3)
 OK = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -120,6 +122,65 @@
     assert found.took_s < 2
 
 
+async def disconnect_during_first(read_ahead: bytes) -> bool:
+    """Whether the server sees that a client has gone while its first request is served, and more was sent."""
+    at_work, done, connections = asyncio.Event(), asyncio.Event(), []
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        await read_body(receive, 500)
+        connections.append(scope["connection"])
+        at_work.set()
+        await done.wait()
+        await send_response(send, 200, b"x")
+
+    server = HttpServer(app, LIMITS)
+    port = await server.listen("127.0.0.1", 0)
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(OK)
+    await at_work.wait()
+    writer.write(read_ahead)
+    ahead = read_ahead.count(OK)
+    await until(lambda: len(connections[0].pipeline) >= ahead, "it has arrived")
+    writer.close()
+    with contextlib.suppress(AssertionError):
+        await until(lambda: connections[0].disconnected, "it is seen", 0.5)
+    seen = connections[0].disconnected
+    done.set()
+    await until(lambda: not server.pending_count(), "it is over")
+    server.shutdown()
+    assert len(connections) == 1  # nothing of what was read ahead is served
+    return bool(seen)
+
+
+@pytest.mark.parametrize("ahead", [0, 1, 3, 7])
+def test_a_client_that_goes_is_seen_with_requests_read_ahead(ahead: int) -> None:
+    assert asyncio.run(disconnect_during_first(OK * ahead))
+
+
+def test_what_comes_too_late_behind_a_request_does_not_cost_its_response() -> None:
+    late = OK + b"GET /late HTTP/1.1\r\nHost:"
+
+    async def main() -> bytes:
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            await read_body(receive, 500)
+            await asyncio.sleep(2 * LIMITS.header_timeout_s)
+            await send_response(send, 200, scope["target"])
+
+        server = HttpServer(app, LIMITS)
+        port = await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(late)
+        async with asyncio.timeout(5):
+            received = await reader.read(-1)
+        writer.close()
+        server.shutdown()
+        return received
+
+    received = asyncio.run(main())
+    assert received.count(b"HTTP/1.1 200") == 1
+    assert received.endswith(b"/a")
+
+
 PIECES = st.sampled_from(
     [
         OK,
--- a/tests/gateway/test_upstream_attempt.py
+++ b/tests/gateway/test_upstream_attempt.py
@@ -268,3 +268,20 @@
         server.raw.close()
 
     asyncio.run(main())
+
+
+def test_for_a_client_that_goes_while_a_connection_comes_up_nothing_is_sent() -> None:
+    async def main() -> None:
+        server = Server([OK])
+        there = backend("me", await server.raw.open())
+        pool: ConnectionPool[ClientConnection] = ConnectionPool()
+        result = await send_attempt(pool, there, request(b"one"), now_ns() + SECOND, client_gone=lambda: True)
+        assert (result.outcome, result.response) == (NEVER_RAN, None)
+        await until(lambda: server.ended == 1, "its connection is closed")
+        assert not server.read
+        load = pool.load("me")
+        assert not load.in_flight
+        assert not load.is_avoided(now_ns())  # the backend is not to blame
+        server.raw.close()
+
+    asyncio.run(main())
