Admission by priority: the least urgent requests of a service are refused first

Cause: `prio` was read and checked but used nowhere: one admission ratio thinned all routes of a service alike, so a more urgent kind of request was refused as often as a less urgent one. `status` shows the level by priority.

--- a/meadowworks/load_balancing/service_balancer.py
+++ b/meadowworks/load_balancing/service_balancer.py
@@ -13,6 +13,7 @@
 
 from meadowworks.fleet.names import NameIndex
 from meadowworks.load_balancing.policy_settings import REPORT_INTERVAL_NS, policy_settings
+from meadowworks.load_balancing.priority_admission import PriorityAdmission
 from meadowworks.policy import Controller
 from meadowworks.policy.interface import AttemptReport, EndpointEntry
 from meadowworks.registry.backend_state import DRAINING, UP
@@ -62,6 +63,7 @@
         self.weights: dict[int, float] = {}  # of the local zone's table, by endpoint
         self.remote_weights: dict[int, float] = {}  # of the other zones' tables, of their own backends alone
         self.admission_ratio = 1.0  # the part of requests that are let in
+        self.priorities = PriorityAdmission()
         self.max_retries = 1  # 0 under overload
         self.response_bytes = 0.0  # moving average
         self.log_entries: list[str] = []  # what the policy has decided, not logged yet
@@ -165,6 +167,10 @@
         """Record the size of a response's body in bytes."""
         self.response_bytes += RESPONSE_SIZE_GAIN * (size - self.response_bytes)
 
+    def admission_ratio_of(self, priority: int) -> float:
+        """The part of the requests of a priority that are let in; 0 is the most urgent."""
+        return self.priorities.ratio(priority, self.admission_ratio)
+
     def report_overdue(self, now: int, zone: int) -> bool:
         """Whether a zone's reports have not come for a while."""
         return now - self._reported_ns.get(zone, 0) > REPORT_OVERDUE_NS
@@ -174,6 +180,7 @@
         if now >= self._next_tick_ns:
             self._next_tick_ns = max(self._next_tick_ns, now - REPORT_INTERVAL_NS)
             self.controller.tick(now)
+            self.priorities.decay()
             self._acknowledge(now)
 
     def _acknowledge(self, now: int) -> None:
@@ -213,6 +220,10 @@
         policy = self.controller
         return {
             "level": self.admission_ratio,
+            "level by priority": {
+                str(priority): round(self.admission_ratio_of(priority), 3)
+                for priority in sorted(self.priorities.counts)
+            },
             "further tries allowed": bool(self.max_retries),
             "asked": round(policy.demand, 2),
             "proven": round(policy.proven_rate, 2),
--- a/meadowworks/modelcheck/catalog.py
+++ b/meadowworks/modelcheck/catalog.py
@@ -13,6 +13,7 @@
     forwarding,
     gossip,
     policy,
+    priority_admission,
     quota,
     registry,
     replica,
@@ -24,6 +25,7 @@
 from meadowworks.modelcheck.seeded_faults.forwarding import FORWARDING_FAULTS
 from meadowworks.modelcheck.seeded_faults.gossip import GOSSIP_FAULTS
 from meadowworks.modelcheck.seeded_faults.policy import POLICY_FAULTS
+from meadowworks.modelcheck.seeded_faults.priority_admission import PRIORITY_ADMISSION_FAULTS
 from meadowworks.modelcheck.seeded_faults.quota import QUOTA_FAULTS
 from meadowworks.modelcheck.seeded_faults.registry import REGISTRY_FAULTS
 from meadowworks.modelcheck.seeded_faults.replica import REPLICA_FAULTS
@@ -39,6 +41,7 @@
     "carriage": forwarding.model,
     "telegraph": gossip.model,
     "roster": registry.model,
+    "priorities": priority_admission.model,
 }
 SEEDED_FAULTS: tuple[SeededFault, ...] = (  # in the order in which `check` lists them
     *ATTEMPT_FAULTS,
@@ -51,6 +54,7 @@
     *UPSTREAM_FAULTS,
     *GOSSIP_FAULTS,
     *REGISTRY_FAULTS,
+    *PRIORITY_ADMISSION_FAULTS,
 )
 
 
