A target in absolute form is served if it names the host that Host names

Cause: `GET http://host/path` was answered 400, where RFC 9112 (3.2.2) asks servers to accept it: a 4xx of the proxy's own to a proper request. Change: the connection turns it into origin form, with the same host alone; another host stays 400.

--- a/meadowworks/runtime/server_connection.py
+++ b/meadowworks/runtime/server_connection.py
@@ -20,6 +20,7 @@
 MAX_PIPELINED_REQUESTS = 16  # that wait for a response: more than clients that pipeline at all send
 # Up to as many are read ahead: while bytes are read, the end of the connection is seen.
 READ_AHEAD_REQUESTS = 8
+ABSOLUTE_FORM_SCHEMES = (b"http://", b"https://")
 HEADER_LINE_OVERHEAD = 4  # bytes beside a header's name and value: ": " and the end of the line
 
 
@@ -53,6 +54,7 @@
     HEADERS_TOO_LARGE = 431, "headers too large"
     NOT_ONE_HOST = 400, "one Host is needed"
     TARGET_IS_NO_PATH = 400, "the target is no path"
+    TARGET_OF_ANOTHER_HOST = 400, "the target names another host than Host"
 
     def response(self) -> bytes:
         """The bytes of the response."""
@@ -154,6 +156,7 @@
         self._reading_headers = False
         self._reading_body = True
         self._cancel_deadline()
+        self._strip_authority()
         if (rejection := self._check_headers()) is not None:
             self._reject(rejection)
             return
@@ -216,6 +219,17 @@
 
     # -- inside
 
+    def _strip_authority(self) -> None:
+        """Turn a target in absolute form into origin form, if it names the host that `Host` names.
+
+        Source: RFC 9112, section 3.2.2: a server must accept the absolute form.
+        """
+        if not self.url.startswith(ABSOLUTE_FORM_SCHEMES):
+            return
+        authority, slash, path = self.url.partition(b"://")[2].partition(b"/")
+        if any(name == b"host" and value.lower() == authority.lower() for name, value in self.headers):
+            self.url = slash + path if slash else b"/"
+
     def _check_headers(self) -> Rejection | None:
         """Why the request is not served, if it is not."""
         size = sum(len(name) + len(value) + HEADER_LINE_OVERHEAD for name, value in self.headers)
@@ -224,6 +238,9 @@
         if sum(name == b"host" for name, _ in self.headers) != 1:
             # Guards against two readers of one request that go by different hosts.
             return Rejection.NOT_ONE_HOST
+        if self.url.startswith(ABSOLUTE_FORM_SCHEMES):
+            # Guards against two readers of one request that go by different hosts.
+            return Rejection.TARGET_OF_ANOTHER_HOST
         if not self.url.startswith(b"/"):
             return Rejection.TARGET_IS_NO_PATH
         return None
