Metrics of both roles in the Prometheus text format, and a page that lists them

Cause: a role's figures were in `/status` alone, as JSON of our own; the users fetch `metrics` of the deploy file.

--- a/meadowworks/controlplane/api_endpoint.py
+++ b/meadowworks/controlplane/api_endpoint.py
@@ -10,6 +10,7 @@
 from meadowworks.runtime import logging as logs
 from meadowworks.runtime.asgi import Receive, Scope, Send
 from meadowworks.runtime.live_settings import LiveSettings
+from meadowworks.runtime.metrics import METRICS_PATH, MetricSource, send_metrics
 from meadowworks.runtime.request_body import BodyError, read_body
 from meadowworks.runtime.response_writer import send_response
 
@@ -33,12 +34,14 @@
     """An ASGI application on a node's API port.
 
     :param routes: the handlers of all resources.
+    :param metrics: reads the node's figures.
     :param live_settings: name the memory of the node, of which bodies get a share.
     """
 
-    def __init__(self, routes: Routes, live_settings: LiveSettings) -> None:
+    def __init__(self, routes: Routes, live_settings: LiveSettings, metrics: MetricSource) -> None:
         self._routes = routes
         self._live_settings = live_settings
+        self._metrics = metrics
         memory_mb = live_settings.current.memory_mb
         self._body_memory = MemoryBudget(int(memory_mb * BYTES_PER_MB * BODIES_MEMORY_SHARE))
 
@@ -47,6 +50,8 @@
         body = await read_body(receive, self._max_body_bytes(), self._body_memory, BODY_TIMEOUT_S)
         if isinstance(body, BodyError):
             return await send_response(send, BODY_ERROR_STATUS[body])
+        if scope["path"] == METRICS_PATH:
+            return await send_metrics(send, self._metrics)
         reply = await self._handle(scope["method"], scope["path"], body)
         headers = [(b"content-type", b"application/json")]
         if reply.retry_after_s:
--- a/meadowworks/controlplane/peer_endpoint.py
+++ b/meadowworks/controlplane/peer_endpoint.py
@@ -1,4 +1,4 @@
-"""The HTTP endpoint for calls between nodes: pulls, consensus requests and the status."""
+"""The HTTP endpoint for calls between nodes: pulls, consensus requests, the status and the metrics."""
 
 from __future__ import annotations
 
@@ -6,11 +6,13 @@
 import sqlite3
 
 from meadowworks.controlplane.compressed_config import MAX_CONFIG_BYTES
+from meadowworks.controlplane.metrics import ControlPlaneMetrics
 from meadowworks.controlplane.node import ControlPlaneNode
 from meadowworks.controlplane.node_status import node_status
 from meadowworks.controlplane.pull_handler import PullHandler
 from meadowworks.gossip.messages import DECODE_ERRORS, decode_pull_request
 from meadowworks.runtime import logging as logs
+from meadowworks.runtime import metrics
 from meadowworks.runtime.asgi import Receive, Scope, Send
 from meadowworks.runtime.request_body import BodyError, read_body
 from meadowworks.runtime.response_writer import send_response
@@ -24,6 +26,7 @@
     def __init__(self, node: ControlPlaneNode) -> None:
         self._node = node
         self._pull_handler = PullHandler(node)
+        self._metrics = ControlPlaneMetrics(node)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call: 400 if it is malformed, 503 if the disk failed, 404 for an unknown path."""
@@ -42,6 +45,8 @@
                     )
                 case "/status":
                     return await send_response(send, 200, json.dumps(node_status(self._node)).encode())
+                case metrics.METRICS_PATH:
+                    return await metrics.send_metrics(send, self._metrics.collect)
         except DECODE_ERRORS as error:
             log.warning("malformed call of {} on the peer port, answered with 400: {}", path, error)
             return await send_response(send, 400)
--- a/meadowworks/controlplane/server.py
+++ b/meadowworks/controlplane/server.py
@@ -10,6 +10,7 @@
 from meadowworks.controlplane.cluster_view import ClusterView
 from meadowworks.controlplane.config_resource import ConfigResource
 from meadowworks.controlplane.maintenance import INTERVAL_S, Maintenance
+from meadowworks.controlplane.metrics import ControlPlaneMetrics
 from meadowworks.controlplane.node import ControlPlaneNode
 from meadowworks.controlplane.peer_endpoint import PeerEndpoint
 from meadowworks.controlplane.pull_client import PullClient
@@ -50,7 +51,9 @@
         self.peer_server = HttpServer(
             self.peer_endpoint, request_limits(), incarnation=self.node.cluster.incarnation
         )
-        self.api_endpoint = ApiEndpoint(self._api_routes(), self._live_settings)
+        self.api_endpoint = ApiEndpoint(
+            self._api_routes(), self._live_settings, ControlPlaneMetrics(self.node).collect
+        )
         self.api_server = HttpServer(self.api_endpoint, request_limits())
 
     @property
--- a/meadowworks/proxy/server.py
+++ b/meadowworks/proxy/server.py
@@ -16,6 +16,7 @@
 from meadowworks.proxy.forwarder import Forwarder
 from meadowworks.proxy.internal_api import InternalApi
 from meadowworks.proxy.load_reporting import LoadReporter
+from meadowworks.proxy.metrics import ProxyMetrics
 from meadowworks.proxy.request_handler import RequestHandler
 from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.proxy.timers import Timers
@@ -66,8 +67,18 @@
             self.tasks,
         )
         handler = RequestHandler(self.view, forwarder, self.memory_budget, self.counters)
-        self.internal_api = InternalApi(self._settings, self.view, forwarder, self.counters, self.is_ready)
         self.http_server = HttpServer(handler.handle, max_connections=int(settings.max_fds * CLIENT_FD_SHARE))
+        metrics = ProxyMetrics(
+            self.view,
+            forwarder,
+            self.counters,
+            self.memory_budget,
+            self.is_ready,
+            self.http_server.pending_count,
+        )
+        self.internal_api = InternalApi(
+            self._settings, self.view, forwarder, self.counters, self.is_ready, metrics.collect
+        )
         self.readiness_server = HttpServer(self.internal_api.handle_readiness)
         self.internal_server = HttpServer(self.internal_api.handle, incarnation=self.incarnation)
         self._timers = Timers(
--- a/tests/gateway/test_api_endpoint.py
+++ b/tests/gateway/test_api_endpoint.py
@@ -31,7 +31,9 @@
     document = SystemLayout(9, Ports(1, 2, 3, 4)).node_settings(0, Path("/d"))
     document["self"]["limits"] = {"memMb": memory_mb}
     settings = LiveSettings(parse_settings(json.dumps(document)))
-    endpoint = ApiEndpoint({Route("POST", "X.Echo"): echo, Route("GET", "X.Fail"): fail}, settings)
+    endpoint = ApiEndpoint(
+        {Route("POST", "X.Echo"): echo, Route("GET", "X.Fail"): fail}, settings, lambda: ()
+    )
     sent: list[Any] = []
 
     async def receive() -> dict[str, Any]:
