The proxy reads its settings again by runtime/live_settings, as the control plane does

Cause: the reload of settings stood twice. Change: proxy/settings_reload.py is gone; its users take LiveSettings.

--- a/meadowworks/proxy/control_plane_client.py
+++ b/meadowworks/proxy/control_plane_client.py
@@ -15,12 +15,12 @@
 from meadowworks.proxy.control_plane_view import ControlPlaneView
 from meadowworks.proxy.load_reporting import LoadReporter
 from meadowworks.proxy.pull_schedule import PullSchedule
-from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.runtime import logging as logs
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.compression import decompress_steps
 from meadowworks.runtime.cooperative import run_cooperatively
 from meadowworks.runtime.errors import InvariantError, RequestError
+from meadowworks.runtime.live_settings import LiveSettings
 from meadowworks.runtime.peer_client import PeerClient
 from meadowworks.runtime.steps import Steps
 
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        settings: ReloadableSettings,
+        settings: LiveSettings,
         incarnation: str,
         view: ControlPlaneView,
         reporter: LoadReporter,
@@ -147,7 +147,7 @@
         self._view.refresh_endpoints()
 
 
-def own_record(settings: ReloadableSettings, incarnation: str) -> PeerRecord:
+def own_record(settings: LiveSettings, incarnation: str) -> PeerRecord:
     """What this process says of itself. Its heartbeat begins above that of an earlier process."""
     node = settings.current
     heartbeat = int(time.time())
--- a/meadowworks/proxy/control_plane_view.py
+++ b/meadowworks/proxy/control_plane_view.py
@@ -13,12 +13,12 @@
 from meadowworks.forwarding.staleness import StalenessTracker
 from meadowworks.gossip.updates import UpdateStore
 from meadowworks.load_balancing.service_balancer import ServiceBalancer
-from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.registry.backend_state import DRAINING
 from meadowworks.registry.backends import BackendDirectory
 from meadowworks.runtime import logging as logs
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.http_connection import ClientConnection
+from meadowworks.runtime.live_settings import LiveSettings
 
 MS, SECOND = 1_000_000, 1_000_000_000
 # After the start: how long a lease holder is waited for, and then a backend of every service. The platform's
@@ -36,7 +36,7 @@
     """
 
     def __init__(
-        self, settings: ReloadableSettings, incarnation: str, pool: ConnectionPool[ClientConnection]
+        self, settings: LiveSettings, incarnation: str, pool: ConnectionPool[ClientConnection]
     ) -> None:
         self._settings = settings
         self._pool = pool
--- a/meadowworks/proxy/endpoint_selector.py
+++ b/meadowworks/proxy/endpoint_selector.py
@@ -13,8 +13,8 @@
 )
 from meadowworks.load_balancing.service_balancer import ServiceBalancer
 from meadowworks.proxy.control_plane_view import ControlPlaneView
-from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.runtime.http_connection import ClientConnection
+from meadowworks.runtime.live_settings import LiveSettings
 
 
 class EndpointSnapshot:
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        settings: ReloadableSettings,
+        settings: LiveSettings,
         view: ControlPlaneView,
         pool: ConnectionPool[ClientConnection],
     ) -> None:
--- a/meadowworks/proxy/forwarder.py
+++ b/meadowworks/proxy/forwarder.py
@@ -33,12 +33,12 @@
 from meadowworks.proxy.counters import ProxyCounters
 from meadowworks.proxy.endpoint_selector import EndpointSelector
 from meadowworks.proxy.load_reporting import LoadReporter
-from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.proxy.upstream_attempt import AttemptResult, UpstreamRequest, send_attempt
 from meadowworks.registry.backends import BackendInstance
 from meadowworks.runtime.background_tasks import BackgroundTasks
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.http_connection import ClientConnection, Response
+from meadowworks.runtime.live_settings import LiveSettings
 from meadowworks.runtime.server_connection import HttpConnection
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        settings: ReloadableSettings,
+        settings: LiveSettings,
         view: ControlPlaneView,
         pool: ConnectionPool[ClientConnection],
         selector: EndpointSelector,
--- a/meadowworks/proxy/internal_api.py
+++ b/meadowworks/proxy/internal_api.py
@@ -9,9 +9,9 @@
 from meadowworks.proxy.control_plane_view import ControlPlaneView
 from meadowworks.proxy.counters import ProxyCounters
 from meadowworks.proxy.forwarder import Forwarder
-from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.runtime.asgi import Receive, Scope, Send
 from meadowworks.runtime.clock import now_ns
+from meadowworks.runtime.live_settings import LiveSettings
 from meadowworks.runtime.metrics import METRICS_PATH, MetricSource, send_metrics
 from meadowworks.runtime.request_body import read_body
 from meadowworks.runtime.response_writer import send_response
@@ -29,7 +29,7 @@
 
     def __init__(
         self,
-        settings: ReloadableSettings,
+        settings: LiveSettings,
         view: ControlPlaneView,
         forwarder: Forwarder,
         counters: ProxyCounters,
--- a/meadowworks/proxy/load_reporting.py
+++ b/meadowworks/proxy/load_reporting.py
@@ -15,11 +15,11 @@
 from meadowworks.load_balancing.load_reports import LOAD_REPORT_PREFIX, BackendSums, LoadReport
 from meadowworks.load_balancing.service_balancer import BackendLoad
 from meadowworks.proxy.control_plane_view import ControlPlaneView
-from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.proxy.upstream_attempt import AttemptResult
 from meadowworks.runtime import logging as logs
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.http_connection import ClientConnection
+from meadowworks.runtime.live_settings import LiveSettings
 
 MS = 1_000_000
 OWN_REPORT_MS = 1000  # what a report of this proxy's own covers that stands in for its zone's
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        settings: ReloadableSettings,
+        settings: LiveSettings,
         view: ControlPlaneView,
         pool: ConnectionPool[ClientConnection],
     ) -> None:
--- a/meadowworks/proxy/server.py
+++ b/meadowworks/proxy/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from uuid import uuid4
 
 from meadowworks.config.route_table import RouteTable
@@ -18,7 +17,6 @@
 from meadowworks.proxy.load_reporting import LoadReporter
 from meadowworks.proxy.metrics import ProxyMetrics
 from meadowworks.proxy.request_handler import RequestHandler
-from meadowworks.proxy.settings_reload import ReloadableSettings
 from meadowworks.proxy.timers import Timers
 from meadowworks.registry.backends import BackendDirectory
 from meadowworks.runtime import logging as logs
@@ -26,6 +24,7 @@
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.http_connection import ClientConnection
 from meadowworks.runtime.http_server import HttpServer
+from meadowworks.runtime.live_settings import LiveSettings
 from meadowworks.runtime.node_settings import NodeSettings
 from meadowworks.runtime.process import run_program
 
@@ -51,7 +50,7 @@
         self.counters = ProxyCounters()
         self.memory_budget = MemoryBudget(int(settings.memory_mb * 1e6 * BODY_MEMORY_SHARE))
         self.connection_pool: ConnectionPool[ClientConnection] = ConnectionPool()
-        self._settings = ReloadableSettings(settings)
+        self._settings = LiveSettings(settings)
         self.view = ControlPlaneView(self._settings, self.incarnation, self.connection_pool)
         self.view.route_table_listeners.append(self._apply_limits)
         reporter = LoadReporter(self._settings, self.view, self.connection_pool)
@@ -114,7 +113,7 @@
         :raises OSError: an address cannot be listened at
         :raises InvariantError: a background task has found a state that is wrong
         """
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload_settings)
+        self._settings.reload_on_sighup()
         await self._listen()
         log.info("proxy {} is serving", self.settings.node)
         self.tasks.start(self.control_plane.pull_forever())
