--- a/meadowworks/load_balancing/service_balancer.py
+++ b/meadowworks/load_balancing/service_balancer.py
@@ -220,10 +220,6 @@
         policy = self.controller
         return {
             "level": self.admission_ratio,
-            "level by priority": {
-                str(priority): round(self.admission_ratio_of(priority), 3)
-                for priority in sorted(self.priorities.counts)
-            },
             "further tries allowed": bool(self.max_retries),
             "asked": round(policy.demand, 2),
             "proven": round(policy.proven_rate, 2),
--- a/meadowworks/modelcheck/seeded_faults/priority_admission.py
+++ b/meadowworks/modelcheck/seeded_faults/priority_admission.py
@@ -13,7 +13,7 @@
         MODEL,
         ADMISSION + "ratios",
         "for priority in sorted(self.counts):",
-        "for priority in sorted(self.counts, reverse=True):",
+        "for priority in sorted(self.counts)[::-1]:",
         ("urgent first",),
     ),
     SeededFault(
