The log is structured: time of day, node, component, event and its fields

Cause: a line had the time since its process's start, a level and a part, and its values in prose, so lines of two machines could not be put side by side, nor read by a program. Change: each line is an event with fields. As text: time of day in UTC with milliseconds, the steady clock, level, `node=`, `component=`, `event=` and the fields; as JSON one object a line by loguru's own sink, by MEADOWWORKS_LOG_FORMAT or `log.format` of the settings file (another word: status 2, one line).

--- a/meadowworks/consensus/effects.py
+++ b/meadowworks/consensus/effects.py
@@ -95,9 +95,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LogEntry:
-    """Log this line."""
+    """Log this event with its fields."""
 
-    text: str
+    event: str
+    fields: Mapping[str, str | int]
 
 
 Effect = Persist | SendRequest | SendReply | CompleteOperation | ValueCommitted | LogEntry
--- a/meadowworks/consensus/operation_runner.py
+++ b/meadowworks/consensus/operation_runner.py
@@ -260,10 +260,10 @@
         acceptor, call = self.acceptor, operation.quorum_call
         assert call is not None
         if operation.kind is OperationKind.LEAVE and not call.epoch.has_member(acceptor.member_id):
-            self.log("this replica has left: the new members are installed")
+            self.log("left_membership")
             self.complete_operation(operation_id, Committed())
         elif isinstance(call, StateTransfer):
-            self.log(f"version {call.committed.version:08x} is on a majority of the other members' disks")
+            self.log("state_transferred", version=f"{call.committed.version:08x}")
             self.complete_operation(operation_id, Committed())
         elif result.highest_version <= acceptor.committed.version:
             if operation.kind is OperationKind.LEAVE:
@@ -317,15 +317,15 @@
         if epoch.number > 0 and self.acceptor.on_epoch(epoch):
             self.membership.on_new_epoch(now_ns)
             self.lease.on_new_epoch()
-            self.log(f"epoch {epoch.number} has {len(epoch.members)} members")
+            self.log("epoch_learnt", epoch=epoch.number, members=len(epoch.members))
 
     def on_epoch_joined(self, now_ns: int) -> None:
         """This replica has become a member of an epoch."""
         self.membership.on_new_epoch(now_ns)
         epoch = self.acceptor.epoch
-        self.log(f"a member of epoch {epoch.number}, of {len(epoch.members)}")
+        self.log("epoch_joined", epoch=epoch.number, members=len(epoch.members))
         self.lease.on_new_epoch()
 
-    def log(self, message: str) -> None:
-        """Has a line logged."""
-        self.effects.append(LogEntry(message))
+    def log(self, event: str, **fields: str | int) -> None:
+        """Has an event logged."""
+        self.effects.append(LogEntry(event, fields))
--- a/meadowworks/consensus/replica.py
+++ b/meadowworks/consensus/replica.py
@@ -250,7 +250,7 @@
             case CompleteReconfiguration(epoch, next_epoch):
                 self.complete_reconfiguration(now_ns, epoch, next_epoch)
             case FinishVersion(version):
-                self.log(f"finishing version {version:08x}")
+                self.log("finishing_version", version=f"{version:08x}")
                 deadline_ns = now_ns + FINISH_TIMEOUT_NS
                 self.begin_operation(now_ns, Operation(OperationKind.FINISH, version, None, deadline_ns, []))
             case FinishMembershipProposal():
@@ -259,7 +259,7 @@
                 self.install_lagging_members(now_ns)
             case ProposeMembers(members):
                 number = self.acceptor.epoch.number + 1
-                self.log(f"proposing {len(members)} members for epoch {number}")
+                self.log("proposing_members", epoch=number, members=len(members))
                 self._propose_members(now_ns, encode_member_list(members))
 
     def _propose_members(self, now_ns: int, value: bytes | None) -> None:
--- a/meadowworks/controlplane/api_endpoint.py
+++ b/meadowworks/controlplane/api_endpoint.py
@@ -10,7 +10,7 @@
 from meadowworks.runtime import logging as logs
 from meadowworks.runtime.asgi import Receive, Scope, Send
 from meadowworks.runtime.live_settings import LiveSettings
-from meadowworks.runtime.metrics import METRICS_PATH, MetricSource, send_metrics
+from meadowworks.runtime.metrics_endpoint import METRICS_PATH, MetricsSender
 from meadowworks.runtime.request_body import BodyError, read_body
 from meadowworks.runtime.response_writer import send_response
 
@@ -34,14 +34,14 @@
     """An ASGI application on a node's API port.
 
     :param routes: the handlers of all resources.
-    :param metrics: reads the node's figures.
+    :param send_metrics: answers a scrape.
     :param live_settings: name the memory of the node, of which bodies get a share.
     """
 
-    def __init__(self, routes: Routes, live_settings: LiveSettings, metrics: MetricSource) -> None:
+    def __init__(self, routes: Routes, live_settings: LiveSettings, send_metrics: MetricsSender) -> None:
         self._routes = routes
         self._live_settings = live_settings
-        self._metrics = metrics
+        self._send_metrics = send_metrics
         memory_mb = live_settings.current.memory_mb
         self._body_memory = MemoryBudget(int(memory_mb * BYTES_PER_MB * BODIES_MEMORY_SHARE))
 
@@ -51,7 +51,7 @@
         if isinstance(body, BodyError):
             return await send_response(send, BODY_ERROR_STATUS[body])
         if scope["path"] == METRICS_PATH:
-            return await send_metrics(send, self._metrics)
+            return await self._send_metrics(send)
         reply = await self._handle(scope["method"], scope["path"], body)
         headers = [(b"content-type", b"application/json")]
         if reply.retry_after_s:
@@ -70,5 +70,5 @@
         try:
             return await handler(ApiRequest(resource_id, body))
         except sqlite3.Error as error:
-            log.warning("{} answered with 503, the disk of the node's datadir failed: {}", action, error)
+            log.warning("call_failed_by_disk", call=action, reason=str(error))
             return DISK_FAILED
--- a/meadowworks/controlplane/backends_resource.py
+++ b/meadowworks/controlplane/backends_resource.py
@@ -108,7 +108,7 @@
             registered = self._heartbeats.registrations
             self._acknowledged_drains = {one for one in self._acknowledged_drains if one in registered}
             self._acknowledged_drains.add(backend_id)
-            log.info("backend {} is draining; the drain is durable and acknowledged", backend_id)
+            log.info("drain_acknowledged", backend=backend_id)
 
     def _redirect_body(self, now: int, backend_id: str) -> bytes:
         # A node without a lease may be cut off, and with it the nodes that it would send backends to.
--- a/meadowworks/controlplane/config_resource.py
+++ b/meadowworks/controlplane/config_resource.py
@@ -45,7 +45,7 @@
         lock = self._validation_lock if len(body) > LARGE_CONFIG_BYTES else None
         checked = await run_cooperatively(validation_steps(body), lock)
         if isinstance(checked, InvalidConfiguration):
-            log.info("configuration rejected with 400, the one in force stays: {}", checked.reason)
+            log.info("config_rejected", reason=checked.reason)
             return error_reply(400, checked.reason)
         timeout_ns = COMMIT_TIMEOUT_NS + COMMIT_TIMEOUT_PER_BYTE_NS * len(body)
         match await self._config_service.propose(checked.version, body, timeout_ns):
--- a/meadowworks/controlplane/config_service.py
+++ b/meadowworks/controlplane/config_service.py
@@ -120,11 +120,11 @@
                 self.replica.on_persisted(now_ns(), effect.write_id)
         acceptor = self.replica.acceptor
         log.info(
-            "member {} starts in incarnation {}: configuration version {:08x}, epoch {}",
-            acceptor.member_id[:MEMBER_ID_LOG_LENGTH],
-            acceptor.incarnation,
-            acceptor.committed.version,
-            acceptor.epoch.number,
+            "member_started",
+            member=acceptor.member_id[:MEMBER_ID_LOG_LENGTH],
+            incarnation=acceptor.incarnation,
+            version=f"{acceptor.committed.version:08x}",
+            epoch=acceptor.epoch.number,
         )
         self.run_effects()
 
@@ -201,10 +201,10 @@
                 if waiter is not None and not waiter.done():
                     waiter.set_result(outcome)
             case ValueCommitted(committed):
-                log.info("configuration version {:08x} is committed and in force", committed.version)
+                log.info("config_committed", version=f"{committed.version:08x}")
                 self._on_commit(committed)
-            case LogEntry(text):
-                log.info("{}", text)
+            case LogEntry(event, fields):
+                log.info(event, **fields)
 
     def _tick(self) -> None:
         self.replica.tick(now_ns())
@@ -214,11 +214,7 @@
         try:
             await self._store.save_consensus_state(effect.update)
         except sqlite3.Error as error:
-            log.warning(
-                "writing the consensus state failed, this member neither votes nor acknowledges until a "
-                "retry succeeds; check the disk of the node's datadir: {}",
-                error,
-            )
+            log.warning("consensus_write_failed", reason=str(error))
             self.replica.on_persist_failed(now_ns(), effect.write_id)
         else:
             self.replica.on_persisted(now_ns(), effect.write_id)
@@ -229,7 +225,7 @@
         try:
             envelope = await self._call_member(effect)
         except (RequestError, *DECODE_ERRORS) as error:
-            log.debug("consensus request to {} failed: {}", effect.address, error)
+            log.debug("consensus_request_failed", peer=effect.address, reason=str(error))
             self.replica.on_request_failed(now_ns(), effect.request_id)
         else:
             self.replica.on_reply(now_ns(), effect.request_id, envelope.member_id, envelope.reply)
--- a/meadowworks/controlplane/drain_service.py
+++ b/meadowworks/controlplane/drain_service.py
@@ -67,11 +67,7 @@
                 await self._store.save_drains(encode_rows(batch), batch.deleted)
             except sqlite3.Error as error:
                 log.warning(
-                    "writing {} drains failed, their backends get no acknowledgement; retried in {:g} s, "
-                    "check the disk of the node's datadir: {}",
-                    len(batch.rows),
-                    WRITE_RETRY_S,
-                    error,
+                    "drain_write_failed", drains=len(batch.rows), retry_s=WRITE_RETRY_S, reason=str(error)
                 )
                 self._drain_log.on_write_failed()
                 await asyncio.sleep(WRITE_RETRY_S)
--- a/meadowworks/controlplane/maintenance.py
+++ b/meadowworks/controlplane/maintenance.py
@@ -55,9 +55,9 @@
     def _log_summary(self) -> None:
         node = self._node
         log.info(
-            "lease {}, {} peers known, {} backends send their heartbeats here, {} backends known",
-            "held" if node.holds_lease() else "NOT held",
-            len(node.cluster.peers.peers),
-            len(node.heartbeats.registrations),
-            len(node.cluster.backends.instances),
+            "node_state",
+            lease="held" if node.holds_lease() else "NOT_held",
+            peers=len(node.cluster.peers.peers),
+            registrations=len(node.heartbeats.registrations),
+            backends=len(node.cluster.backends.instances),
         )
--- a/meadowworks/controlplane/peer_endpoint.py
+++ b/meadowworks/controlplane/peer_endpoint.py
@@ -6,14 +6,14 @@
 import sqlite3
 
 from meadowworks.controlplane.compressed_config import MAX_CONFIG_BYTES
-from meadowworks.controlplane.metrics import ControlPlaneMetrics
 from meadowworks.controlplane.node import ControlPlaneNode
 from meadowworks.controlplane.node_status import node_status
 from meadowworks.controlplane.pull_handler import PullHandler
 from meadowworks.gossip.messages import DECODE_ERRORS, decode_pull_request
 from meadowworks.runtime import logging as logs
-from meadowworks.runtime import metrics
+from meadowworks.runtime import metrics_endpoint
 from meadowworks.runtime.asgi import Receive, Scope, Send
+from meadowworks.runtime.metrics_endpoint import MetricsSender
 from meadowworks.runtime.request_body import BodyError, read_body
 from meadowworks.runtime.response_writer import send_response
 
@@ -21,12 +21,15 @@
 
 
 class PeerEndpoint:
-    """An ASGI application on a node's peer port."""
+    """An ASGI application on a node's peer port.
 
-    def __init__(self, node: ControlPlaneNode) -> None:
+    :param send_metrics: answers a scrape
+    """
+
+    def __init__(self, node: ControlPlaneNode, send_metrics: MetricsSender) -> None:
         self._node = node
+        self._send_metrics = send_metrics
         self._pull_handler = PullHandler(node)
-        self._metrics = ControlPlaneMetrics(node)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call: 400 if it is malformed, 503 if the disk failed, 404 for an unknown path."""
@@ -45,12 +48,12 @@
                     )
                 case "/status":
                     return await send_response(send, 200, json.dumps(node_status(self._node)).encode())
-                case metrics.METRICS_PATH:
-                    return await metrics.send_metrics(send, self._metrics.collect)
+                case metrics_endpoint.METRICS_PATH:
+                    return await self._send_metrics(send)
         except DECODE_ERRORS as error:
-            log.warning("malformed call of {} on the peer port, answered with 400: {}", path, error)
+            log.warning("malformed_peer_call", path=path, reason=str(error))
             return await send_response(send, 400)
         except sqlite3.Error as error:
-            log.warning("{} answered with 503, the disk of the node's datadir failed: {}", path, error)
+            log.warning("call_failed_by_disk", call=path, reason=str(error))
             return await send_response(send, 503)
         return await send_response(send, 404)
--- a/meadowworks/controlplane/pull_client.py
+++ b/meadowworks/controlplane/pull_client.py
@@ -69,7 +69,7 @@
                     pulled = await self._send(client, pull)
                 except (RequestError, ValueError) as error:
                     retry_s = RETRY_S if self._node.holds_lease() else RETRY_WITHOUT_LEASE_S
-                    log.debug("pull from {}:{} failed: {}; retried in {:g} s", host, port, error, retry_s)
+                    log.debug("pull_failed", peer=f"{host}:{port}", reason=str(error), retry_s=retry_s)
                     await asyncio.sleep(retry_s)
                     continue
                 successes += 1
--- a/meadowworks/controlplane/server.py
+++ b/meadowworks/controlplane/server.py
@@ -10,12 +10,12 @@
 from meadowworks.controlplane.cluster_view import ClusterView
 from meadowworks.controlplane.config_resource import ConfigResource
 from meadowworks.controlplane.maintenance import INTERVAL_S, Maintenance
-from meadowworks.controlplane.metrics import ControlPlaneMetrics
 from meadowworks.controlplane.node import ControlPlaneNode
 from meadowworks.controlplane.peer_endpoint import PeerEndpoint
 from meadowworks.controlplane.pull_client import PullClient
 from meadowworks.registry.backends import BackendDirectory
 from meadowworks.runtime import logging as logs
+from meadowworks.runtime.asgi import Send
 from meadowworks.runtime.background_tasks import BackgroundTasks
 from meadowworks.runtime.clock import NS_PER_SECOND
 from meadowworks.runtime.http_server import HttpServer
@@ -47,13 +47,11 @@
         self.node = ControlPlaneNode(self._live_settings, self.tasks)
         self.pull_client = PullClient(self.node)
         self.maintenance = Maintenance(self.node)
-        self.peer_endpoint = PeerEndpoint(self.node)
+        self.peer_endpoint = PeerEndpoint(self.node, self._send_metrics)
         self.peer_server = HttpServer(
             self.peer_endpoint, request_limits(), incarnation=self.node.cluster.incarnation
         )
-        self.api_endpoint = ApiEndpoint(
-            self._api_routes(), self._live_settings, ControlPlaneMetrics(self.node).collect
-        )
+        self.api_endpoint = ApiEndpoint(self._api_routes(), self._live_settings, self._send_metrics)
         self.api_server = HttpServer(self.api_endpoint, request_limits())
 
     @property
@@ -101,6 +99,12 @@
         self.tasks.close()
         self.node.close()
 
+    async def _send_metrics(self, send: Send) -> None:
+        from meadowworks.controlplane.metrics import ControlPlaneMetrics
+        from meadowworks.runtime.metrics import send_metrics
+
+        await send_metrics(send, ControlPlaneMetrics(self.node).collect)
+
     def _api_routes(self) -> Routes:
         node = self.node
         backends = BackendsResource(
@@ -120,12 +124,10 @@
         host, port = settings.bind["ctl"]
         await self.api_server.listen(host, port)
         log.info(
-            "{} is up: API on {}:{}, peers on {}:{}",
-            settings.node,
-            host,
-            port,
-            settings.ip,
-            settings.peer_port,
+            "control_plane_serving",
+            name=settings.node,
+            api=f"{host}:{port}",
+            peers=f"{settings.ip}:{settings.peer_port}",
         )
         self.pull_client.start_missing()
         self.tasks.start(self.tasks.run_periodically(INTERVAL_S, self.maintenance.run))
@@ -134,7 +136,7 @@
     async def _shut_down(self) -> None:
         grace_s = self.settings.bounds.grace_s
         deadline_s = asyncio.get_running_loop().time() + min(MAX_FINISH_S, grace_s * FINISH_SHARE)
-        log.info("shutdown requested; handing the state over to the other members")
+        log.info("shutdown_started")
         self._refuse_new_work()
         await self._hand_over(grace_s * HAND_OVER_SHARE)
         await self._finish_calls(deadline_s)
@@ -148,13 +150,9 @@
     async def _hand_over(self, timeout_s: float) -> None:
         """Hand over what only this disk holds, while the others still hear of it."""
         if await self.node.config_service.hand_over(int(timeout_s * NS_PER_SECOND)):
-            log.info("hand-over done: the other members hold everything that this node has acknowledged")
+            log.info("hand_over_done")
         else:
-            log.warning(
-                "hand-over not done within {:g} s, no majority answered: keep this node's datadir until the "
-                "other members hold a lease",
-                timeout_s,
-            )
+            log.warning("hand_over_failed", timeout_s=timeout_s)
         self.peer_server.drain()
         self.node.state_changed.notify_all()
 
--- a/meadowworks/proxy/control_plane_client.py
+++ b/meadowworks/proxy/control_plane_client.py
@@ -79,7 +79,7 @@
             except InvariantError:
                 raise
             except Exception:
-                log.exception("a pull failed by an internal error, the next one follows")
+                log.exception("pull_failed_internally")
                 self._schedule.want_reply_at_once()
                 await asyncio.sleep(FAULT_PAUSE_S)
 
@@ -98,7 +98,7 @@
             reply = messages.decode_pull_reply(await client.call(b"/pull", request.encode(), timeout_s))
             table = await run_cooperatively(decode_config_steps(reply.config[1])) if reply.config else None
         except (RequestError, *DECODE_ERRORS) as error:
-            log.info("control-plane node {} gave no usable reply, another one is asked: {}", host, error)
+            log.info("control_plane_node_left", node_ip=host, reason=str(error))
             self._reporter.put_back(report)
             self._selector.mark_failed(now_ns(), host)
             await asyncio.sleep(self._schedule.on_failure(self._view.route_table is not None))
--- a/meadowworks/proxy/control_plane_view.py
+++ b/meadowworks/proxy/control_plane_view.py
@@ -66,7 +66,7 @@
         for name in table.max_connections:
             target_ns = int(table.latency_targets_ms.get(name, DEFAULT_TARGET_MS) * MS) or SECOND
             self._set_latency_target(name, target_ns)
-        log.info("configuration version {:08x} is in force", table.version)
+        log.info("config_in_force", version=f"{table.version:08x}")
         self.backends.changed_ids |= set(self.backends.instances)
         self.refresh_endpoints()
 
@@ -86,7 +86,7 @@
         for instance_id in self.backends.changed_ids:
             instance = self.backends.instances.get(instance_id)
             if instance is not None and instance.state == DRAINING:
-                log.info("backend {} is draining: no new requests go there", instance_id)
+                log.info("backend_draining", backend=instance_id)
         self.backends.changed_ids.clear()
         by_service, now = self.backends.instances_by_service(), now_ns()
         for name, balancer in self.balancers.items():
@@ -95,7 +95,7 @@
 
     def mark_superseded(self, instance_id: str) -> None:
         """Take a backend out: another instance has answered at its address."""
-        log.info("backend {} is gone: another instance answers at its address", instance_id)
+        log.info("backend_superseded", backend=instance_id)
         self.backends.mark_superseded(instance_id)
         self.refresh_endpoints()
 
--- a/meadowworks/proxy/counters.py
+++ b/meadowworks/proxy/counters.py
@@ -52,7 +52,7 @@
         :param retry_windows: retries and requests in the window of each service's retry budget
         """
         if self.responses != self._logged or pending_requests:
-            log.info("responses since the start {}, {} requests pending", self.responses, pending_requests)
+            log.info("responses", counts=dict(self.responses), pending=pending_requests)
             self._logged = dict(self.responses)
         if any(map(any, retry_windows.values())):
-            log.info("retries and requests in the retry window, by service: {}", dict(retry_windows))
+            log.info("retry_windows", retries_and_requests=dict(retry_windows))
--- a/meadowworks/proxy/internal_api.py
+++ b/meadowworks/proxy/internal_api.py
@@ -12,7 +12,7 @@
 from meadowworks.runtime.asgi import Receive, Scope, Send
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.live_settings import LiveSettings
-from meadowworks.runtime.metrics import METRICS_PATH, MetricSource, send_metrics
+from meadowworks.runtime.metrics_endpoint import METRICS_PATH, MetricsSender
 from meadowworks.runtime.request_body import read_body
 from meadowworks.runtime.response_writer import send_response
 
@@ -24,7 +24,7 @@
     """Read-only: nothing that is asked here changes the proxy.
 
     :param is_ready: whether the platform may send clients here
-    :param metrics: reads the proxy's figures
+    :param send_metrics: answers a scrape
     """
 
     def __init__(
@@ -34,26 +34,26 @@
         forwarder: Forwarder,
         counters: ProxyCounters,
         is_ready: Callable[[], bool],
-        metrics: MetricSource,
+        send_metrics: MetricsSender,
     ) -> None:
         self._settings = settings
         self._view = view
         self._forwarder = forwarder
         self._counters = counters
         self._is_ready = is_ready
-        self._metrics = metrics
+        self._send_metrics = send_metrics
 
     async def handle_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:  # noqa: ARG002
         """Answer the platform's poll, 200 while clients may be sent here, else 503; and scrapes."""
         if scope["path"] == METRICS_PATH:
-            return await send_metrics(send, self._metrics)
+            return await self._send_metrics(send)
         return await send_response(send, 200 if self._is_ready() else 503)
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer `/status` and scrapes of metrics; an ASGI application."""
         await read_body(receive, MAX_BODY_BYTES)
         if scope["path"] == METRICS_PATH:
-            return await send_metrics(send, self._metrics)
+            return await self._send_metrics(send)
         if scope["path"] != "/status":
             return await send_response(send, 404)
         return await send_response(send, 200, json.dumps(self.status()).encode())
--- a/meadowworks/proxy/load_reporting.py
+++ b/meadowworks/proxy/load_reporting.py
@@ -81,7 +81,7 @@
             covers_ms, backends, requests = update.value
             self.apply_zone_report(zone, int(covers_ms), backends, dict(requests))
         except (TypeError, ValueError) as error:
-            log.warning("ignored a malformed load report of zone {}: {}", zone, error)
+            log.warning("malformed_load_report", zone=zone, reason=str(error))
 
     def apply_zone_report(
         self, zone: str, covers_ms: int, backends: Iterable[Sequence[Any]], requests: Mapping[str, int]
--- a/meadowworks/proxy/server.py
+++ b/meadowworks/proxy/server.py
@@ -15,11 +15,11 @@
 from meadowworks.proxy.forwarder import Forwarder
 from meadowworks.proxy.internal_api import InternalApi
 from meadowworks.proxy.load_reporting import LoadReporter
-from meadowworks.proxy.metrics import ProxyMetrics
 from meadowworks.proxy.request_handler import RequestHandler
 from meadowworks.proxy.timers import Timers
 from meadowworks.registry.backends import BackendDirectory
 from meadowworks.runtime import logging as logs
+from meadowworks.runtime.asgi import Send
 from meadowworks.runtime.background_tasks import BackgroundTasks
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.http_connection import ClientConnection
@@ -67,16 +67,9 @@
         )
         handler = RequestHandler(self.view, forwarder, self.memory_budget, self.counters)
         self.http_server = HttpServer(handler.handle, max_connections=int(settings.max_fds * CLIENT_FD_SHARE))
-        metrics = ProxyMetrics(
-            self.view,
-            forwarder,
-            self.counters,
-            self.memory_budget,
-            self.is_ready,
-            self.http_server.pending_count,
-        )
+        self._forwarder = forwarder
         self.internal_api = InternalApi(
-            self._settings, self.view, forwarder, self.counters, self.is_ready, metrics.collect
+            self._settings, self.view, forwarder, self.counters, self.is_ready, self._send_metrics
         )
         self.readiness_server = HttpServer(self.internal_api.handle_readiness)
         self.internal_server = HttpServer(self.internal_api.handle, incarnation=self.incarnation)
@@ -115,7 +108,7 @@
         """
         self._settings.reload_on_sighup()
         await self._listen()
-        log.info("proxy {} is serving", self.settings.node)
+        log.info("proxy_serving", name=self.settings.node)
         self.tasks.start(self.control_plane.pull_forever())
         self._timers.start(self.tasks)
         await asyncio.wait([shutdown_requested, self.tasks.fatal_error], return_when=asyncio.FIRST_COMPLETED)
@@ -134,9 +127,9 @@
         grace_s = self.settings.bounds.grace_s
         self.shutting_down = True
         log.info(
-            "shutting down: {} requests pending, responses since the start {}",
-            self.http_server.pending_count(),
-            self.counters.responses,
+            "shutdown_started",
+            pending=self.http_server.pending_count(),
+            counts=dict(self.counters.responses),
         )
         self.http_server.drain()
         await asyncio.sleep(min(READINESS_DRAIN_S, grace_s / 2))
@@ -146,6 +139,20 @@
         self.http_server.close()
         await asyncio.sleep(SHUTDOWN_POLL_S)  # what was written last leaves
 
+    async def _send_metrics(self, send: Send) -> None:
+        from meadowworks.proxy.metrics import ProxyMetrics
+        from meadowworks.runtime.metrics import send_metrics
+
+        metrics = ProxyMetrics(
+            self.view,
+            self._forwarder,
+            self.counters,
+            self.memory_budget,
+            self.is_ready,
+            self.http_server.pending_count,
+        )
+        await send_metrics(send, metrics.collect)
+
     async def _listen(self) -> None:
         settings = self.settings
         await self.internal_server.listen(settings.ip, settings.peer_port)
--- a/meadowworks/proxy/timers.py
+++ b/meadowworks/proxy/timers.py
@@ -62,7 +62,7 @@
         for balancer in self._view.balancers.values():
             balancer.tick(now)
             for entry in balancer.log_entries:
-                log.info("service {}: {}", balancer.name, entry)
+                log.info("policy_decision", service=balancer.name, decision=entry)
             balancer.log_entries.clear()
 
     def log_counters(self) -> None:
--- a/meadowworks/runtime/background_tasks.py
+++ b/meadowworks/runtime/background_tasks.py
@@ -61,7 +61,7 @@
                 raise
             except Exception:
                 name = getattr(action, "__qualname__", repr(action))
-                log.exception("periodic task {} failed; it runs again in {:g} s", name, interval_s)
+                log.exception("periodic_task_failed", task=name, retry_s=interval_s)
 
     async def wait_for_shutdown(self, shutdown_requested: asyncio.Future[None]) -> None:
         """Return when the shutdown is requested.
@@ -89,9 +89,7 @@
         if task.cancelled() or (error := task.exception()) is None:
             return
         if not isinstance(error, InvariantError):
-            log.opt(exception=error).error(
-                "background task {} failed; the program goes on without it", _name_of(task)
-            )
+            log.opt(exception=error).error("background_task_failed", task=_name_of(task))
         elif not self.fatal_error.done():
             self.fatal_error.set_exception(error)
 
--- a/meadowworks/runtime/live_settings.py
+++ b/meadowworks/runtime/live_settings.py
@@ -31,10 +31,7 @@
         try:
             self._current = load_settings()
         except SettingsError as error:
-            log.warning(
-                "settings not reloaded, the old ones stay in force; correct the file and send SIGHUP: {}",
-                error,
-            )
+            log.warning("settings_rejected", reason=str(error))
 
     def reload_on_sighup(self) -> None:
         """Reload whenever the process receives SIGHUP. Call it with the event loop running."""
--- a/meadowworks/runtime/metrics.py
+++ b/meadowworks/runtime/metrics.py
@@ -1,7 +1,7 @@
 """Figures of a program in the Prometheus text format, written by `prometheus_client`.
 
 The programs count in their own objects. What is told here is read from these when somebody asks, so neither a
-request nor a start costs anything for it: the library is imported at the first question.
+request nor a start costs anything for it: the programs import this module at the first scrape.
 """
 
 from __future__ import annotations
@@ -11,15 +11,14 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 from meadowworks.runtime.asgi import Send
 from meadowworks.runtime.response_writer import send_response
 
-if TYPE_CHECKING:
-    from prometheus_client.core import Metric
-
-METRICS_PATH = "/metrics"
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 MAX_RSS_UNIT_BYTES = 1024  # of `ru_maxrss`, getrusage(2)
 
@@ -85,21 +84,23 @@
 
 def render_metrics(families: Iterable[MetricFamily]) -> bytes:
     """The text that a scrape is answered with."""
-    from prometheus_client import CollectorRegistry, generate_latest
-    from prometheus_client.registry import Collector
-
-    class Families(Collector):
-        def collect(self) -> Iterable[Metric]:
-            return [_library_metric(family) for family in families]
-
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(Families())
+    registry.register(_Families(families))
     return generate_latest(registry)
 
 
-def _library_metric(family: MetricFamily) -> Any:
-    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+class _Families(Collector):
+    """Hands families to the library."""
+
+    def __init__(self, families: Iterable[MetricFamily]) -> None:
+        self._families = families
+
+    def collect(self) -> Iterable[Metric]:
+        """The families as the library has them."""
+        return [_library_metric(family) for family in self._families]
+
 
+def _library_metric(family: MetricFamily) -> Metric:
     made_by = CounterMetricFamily if family.kind is MetricKind.COUNTER else GaugeMetricFamily
     metric = made_by(family.name, family.help, labels=family.label_names)
     for sample in family.samples:
--- a/meadowworks/runtime/node_settings.py
+++ b/meadowworks/runtime/node_settings.py
@@ -12,6 +12,7 @@
 
 from meadowworks.runtime.address import Address
 from meadowworks.runtime.errors import SettingsError
+from meadowworks.runtime.logging import LogFormat
 from meadowworks.runtime.node_settings_schema import ServiceBounds, SettingsFile, SettingsFileSchema
 from meadowworks.runtime.schema_support import first_error
 
@@ -49,6 +50,7 @@
     heartbeat_ms: int
     tolerated_failures: int
     bounds: ServiceBounds
+    log_format: LogFormat = LogFormat.TEXT
 
 
 def load_settings(environ: Mapping[str, str] = os.environ) -> NodeSettings:
@@ -121,4 +123,5 @@
         heartbeat_ms=found.heartbeat_ms,
         tolerated_failures=terms.tolerated_failures,
         bounds=terms.bounds,
+        log_format=found.log_format,
     )
--- a/meadowworks/runtime/node_settings_schema.py
+++ b/meadowworks/runtime/node_settings_schema.py
@@ -12,6 +12,7 @@
 from marshmallow import ValidationError, fields, post_load, validate
 
 from meadowworks.runtime.address import Address
+from meadowworks.runtime.logging import LogFormat
 from meadowworks.runtime.schema_support import LenientSchema
 
 DEFAULT_MEMORY_MB = 300.0  # the page's, for a machine whose settings name no limits
@@ -83,6 +84,7 @@
     network: Network
     heartbeat_ms: int
     terms: Terms
+    log_format: LogFormat
 
 
 class AddressField(fields.String):
@@ -182,6 +184,12 @@
         return Terms(data["tolerate"]["nodes"], data["bounds"])
 
 
+class LogSchema(LenientSchema):
+    """`log`, a table of this project's own."""
+
+    format = fields.Enum(LogFormat, by_value=True, load_default=LogFormat.TEXT)
+
+
 class SettingsFileSchema(LenientSchema):
     """The whole file."""
 
@@ -189,7 +197,14 @@
     network = fields.Nested(NetworkSchema, required=True)
     infra = fields.Nested(InfraSchema, required=True)
     terms = fields.Nested(TermsSchema, load_default=lambda: TermsSchema().load({}))
+    log = fields.Nested(LogSchema, load_default=lambda: LogSchema().load({}))
 
     @post_load
     def _build(self, data: dict[str, Any], **_: Any) -> SettingsFile:
-        return SettingsFile(data["identity"], data["network"], data["infra"]["heartbeat_ms"], data["terms"])
+        return SettingsFile(
+            data["identity"],
+            data["network"],
+            data["infra"]["heartbeat_ms"],
+            data["terms"],
+            data["log"]["format"],
+        )
--- a/meadowworks/runtime/process.py
+++ b/meadowworks/runtime/process.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 from meadowworks.runtime import logging as logs
 from meadowworks.runtime.errors import SettingsError
+from meadowworks.runtime.logging import FORMAT_VARIABLE, LogFormat
 from meadowworks.runtime.node_settings import NodeSettings, load_settings
 
 EXIT_OK, EXIT_FAILURE, EXIT_BAD_SETTINGS = 0, 1, 2
@@ -24,9 +26,9 @@
     :param serve: gets the settings and a future, and returns once it has shut down after the future is done.
     :returns: the exit code: 0 after a shutdown, 1 after a failure, 2 for settings that are invalid.
     """
-    logs.configure()
     try:
         settings = load_settings()
+        logs.configure(log_format(settings), settings.node)
     except SettingsError as error:
         print(f"meadowworks: {error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
@@ -36,11 +38,25 @@
         print(f"meadowworks: {error.strerror or error}", file=sys.stderr)
         return EXIT_FAILURE
     except Exception:
-        log.exception("the program failed and exits with status {}", EXIT_FAILURE)
+        log.exception("program_failed", exit_status=EXIT_FAILURE)
         return EXIT_FAILURE
     return EXIT_OK
 
 
+def log_format(settings: NodeSettings, environ: Mapping[str, str] = os.environ) -> LogFormat:
+    """How the log is written: by the environment, else by the settings file.
+
+    :raises SettingsError: if the environment names no format.
+    """
+    named = environ.get(FORMAT_VARIABLE)
+    if not named:
+        return settings.log_format
+    try:
+        return LogFormat(named)
+    except ValueError:
+        raise SettingsError(f"{FORMAT_VARIABLE}: {named!r} is neither text nor json") from None
+
+
 async def _serve_until_signal(serve: Serve, settings: NodeSettings) -> None:
     loop = asyncio.get_running_loop()
     shutdown_requested: asyncio.Future[None] = loop.create_future()
--- a/meadowworks/simulation/control/replica_driver.py
+++ b/meadowworks/simulation/control/replica_driver.py
@@ -88,8 +88,8 @@
                 source = f"in force at {self._node.address}"
                 self._cluster.checker.on_chosen(committed.version, committed.value, source)
                 self._node.log(f"in force: {committed.version}")
-            case LogEntry(text):
-                self._node.log(text)
+            case LogEntry(event, fields):
+                self._node.log(" ".join([event, *(f"{name}={value}" for name, value in fields.items())]))
 
     def _answer_pending_pulls(self) -> None:
         acceptor = self.replica.acceptor
