A leaving member counts as silent at once for the others' decisions

Change: `silent_members` puts members whose `wants_membership` is false first, so the newcomer takes the leaving one's place in one step, and no membership is proposed whose majority needs it. The simulation answers waiting pulls at a leave, as the program does.

--- a/meadowworks/consensus/membership_monitor.py
+++ b/meadowworks/consensus/membership_monitor.py
@@ -25,6 +25,9 @@
 )
 from meadowworks.consensus.values import MEMBERSHIP_VERSION, NO_BALLOT, Epoch, Members
 
+# Since when a leaving member counts as silent: before any that is.
+LEAVING_SINCE_NS = -1
+
 # -- decisions
 
 
@@ -98,12 +101,19 @@
     # -- who answers, and who should be a member
 
     def silent_members(self, now_ns: int) -> list[str]:
-        """Members that have not answered for long, the longest first."""
+        """Members that have not answered for long, the longest first; and before them those that leave.
+
+        A member that leaves for good is as good as gone: guards against a membership that counts on it when a
+        newcomer is added, and then loses another member before the leaving one is silent.
+        """
         found = []
         for member_id, _ in self._acceptor.epoch.members:
             if member_id in (self._acceptor.member_id, self._acceptor.founder_id):
                 continue
             peer = self._lease.peers.get(member_id)
+            if peer is not None and not peer.last_reply.wants_membership:
+                found.append((LEAVING_SINCE_NS, member_id))
+                continue
             last_sign_ns = peer.last_reply_ns if peer else self.epoch_since_ns
             since_ns = max(last_sign_ns, self.started_ns)
             if now_ns - since_ns > MEMBER_SILENCE_TIMEOUT_NS:
--- a/meadowworks/simulation/control/replica_driver.py
+++ b/meadowworks/simulation/control/replica_driver.py
@@ -223,6 +223,9 @@
         self._outcome_callbacks[LEAVE_WAITER_ID] = on_outcome
         now = self._node.local_time()
         self.replica.leave(now, now + timeout_ns)
+        pending, self.pending_pulls = self.pending_pulls, []
+        for pull in pending:  # as the program answers them: so the others hear that it leaves
+            pull.answer()
 
     def _add_waiter(self, on_outcome: OnOutcome) -> int:
         self._operation_count += 1
--- a/tests/consensus/test_membership_monitor.py
+++ b/tests/consensus/test_membership_monitor.py
@@ -71,3 +71,37 @@
     assert monitor.membership_candidates(now_ns) == dict([D])
     assert decide(monitor, now_ns) == [InstallLaggingMembers(), ProposeMembers((A, B, D))]
     assert list(monitor.decisions(now_ns, {}, leaving=True)) == [InstallLaggingMembers()]
+
+
+def leaving(member_id: str) -> Acceptor:
+    acceptor = member(member_id)
+    acceptor.wants_membership = False
+    return acceptor
+
+
+def test_a_leaving_member_counts_as_silent_at_once_and_a_newcomer_takes_its_place() -> None:
+    acceptor, now_ns = member("a"), SETTLED_NS
+    monitor = monitor_of(acceptor, now_ns, "b", "d")
+    monitor._lease.on_query_reply(now_ns, now_ns, leaving("c").query_reply())
+    assert monitor.silent_members(now_ns) == ["c"]
+    assert decide(monitor, now_ns)[-1] == ProposeMembers((A, B, D))
+    monitor._lease.on_query_reply(now_ns, now_ns, member("c").query_reply())  # it has started again
+    assert monitor.silent_members(now_ns) == []
+
+
+def test_a_leaving_member_stays_where_nobody_takes_its_place() -> None:
+    acceptor, now_ns = member("a"), SETTLED_NS
+    monitor = monitor_of(acceptor, now_ns, "b")
+    monitor._lease.on_query_reply(now_ns, now_ns, leaving("c").query_reply())
+    assert decide(monitor, now_ns) == [InstallLaggingMembers()]
+
+
+def test_no_membership_is_proposed_whose_majority_needs_a_leaving_member() -> None:
+    acceptor, now_ns = member("a"), SETTLED_NS
+    monitor = monitor_of(acceptor, now_ns, "d")
+    monitor._lease.on_query_reply(now_ns, now_ns, leaving("c").query_reply())
+    silent_ns = SETTLED_NS + MEMBER_SILENCE_TIMEOUT_NS
+    monitor._lease.on_query_reply(silent_ns, silent_ns, member("d").query_reply())
+    assert sorted(monitor.silent_members(silent_ns)) == ["b", "c"]
+    desired = monitor.desired_members(silent_ns, monitor.silent_members(silent_ns))
+    assert desired is None or len([one for one in desired if one[0] in "ad"]) > len(desired) // 2
