lab control plays drains, leaves, callers, halves and overlaps; a stranger's leave is durable

The leave of an unknown instance is published and on disk before it is acknowledged; 1,024 at a time, one more is answered 503.

--- a/meadowworks/controlplane/backends_resource.py
+++ b/meadowworks/controlplane/backends_resource.py
@@ -80,8 +80,6 @@
     async def leave(self, request: ApiRequest) -> ApiReply:
         """Take a departure, which is acknowledged once it is durable."""
         result = self._heartbeats.leave(now_ns(), request.resource_id)
-        if result == CallAccepted(0) and not self._holds_lease():
-            return error_reply(503, "cut off: what others know of it is not heard here", NO_LEASE_RETRY_S)
         return await self._refusal_unless_durable(result) or ApiReply(200)
 
     async def _refusal_unless_durable(
--- a/meadowworks/registry/heartbeats.py
+++ b/meadowworks/registry/heartbeats.py
@@ -32,7 +32,7 @@
 # Instances that call this node. Beyond it the one that was silent the longest gives way if it is suspect,
 # otherwise a new one is refused: guards against ids without end.
 MAX_REGISTRATIONS = 16384
-MAX_UNKNOWN_DEPARTURES = 1024  # ids that left before anything was known of them; the oldest go first
+MAX_UNKNOWN_DEPARTURES = 1024  # registrations of ids that left before anything was known of them
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +100,7 @@
 
     :ivar suspect_after_ns: the silence after which an instance is suspect.
     :ivar registrations: by instance id; who called last stands last.
-    :ivar unknown_departures: by id of an instance that left before anything was known of it, when that was.
+    :ivar unknown_departures: ids of registrations that left before anything was known of them.
     """
 
     def __init__(
@@ -124,7 +124,7 @@
         self._max_registrations = max_registrations
         self.suspect_after_ns = MISSED_HEARTBEATS_UNTIL_SUSPECT * heartbeat_ms * 1_000_000
         self.registrations: dict[str, Registration] = {}
-        self.unknown_departures: dict[str, int] = {}
+        self.unknown_departures: set[str] = set()
 
     def heartbeat(self, now_ns: int, instance_id: str, document: Any) -> CallOutcome:
         """Takes a heartbeat, given as a JSON document."""
@@ -134,9 +134,6 @@
             return InvalidCall(str(error))
         if not is_valid_id(instance_id):
             return InvalidCall("no id")
-        if instance_id in self.unknown_departures:
-            # Guards against a heartbeat that comes after its instance has left: it registers nothing.
-            return CallAccepted(0)
         registration = self.registrations.pop(instance_id, None)
         known_state = registration.state if registration else UP
         # Guards against a heartbeat that is behind what is known, here or anywhere: no state goes back.
@@ -153,18 +150,20 @@
     def leave(self, now_ns: int, instance_id: str) -> CallOutcome:
         """Takes the call of an instance that leaves, or of the platform in its place.
 
-        An instance that never called this node may be known elsewhere: its end is published all the same.
-        One that nothing is known of is remembered, and published as gone once it is reported.
+        An instance that never called this node may be known elsewhere, also where nobody has told this node
+        of it yet: its end is published all the same, and so is on disk before it is acknowledged.
         """
         if not is_valid_id(instance_id):
             return InvalidCall("no id")
         registration = self.registrations.pop(instance_id, None)
         if registration is None:
-            if not self._is_known(instance_id):
-                self._remember_departure(now_ns, instance_id)
-                return CallAccepted(0)
+            is_unknown = not self._is_known(instance_id)
+            if is_unknown and len(self.unknown_departures) >= MAX_UNKNOWN_DEPARTURES:
+                return RegistryFull()
             if not self._make_room(now_ns):
                 return RegistryFull()
+            if is_unknown:
+                self.unknown_departures.add(instance_id)
             registration = Registration("", "", "", 0.0, UP, 0, 0.0, now_ns)
         self.registrations[instance_id] = registration
         if registration.state != GONE:
@@ -187,12 +186,6 @@
                 self._publish(instance_id, registration)
             if silence_ns > RETENTION_NS + self.suspect_after_ns:
                 self._delete(instance_id)
-        for instance_id, left_ns in list(self.unknown_departures.items()):
-            if now_ns - left_ns > RETENTION_NS:
-                del self.unknown_departures[instance_id]
-            elif self._is_known(instance_id) and self._make_room(now_ns):
-                del self.unknown_departures[instance_id]
-                self.leave(now_ns, instance_id)
 
     def durable_values(self) -> dict[str, list[Any]]:
         """Returns the values of the instances that call and are not gone, to be stored for a restart."""
@@ -258,12 +251,6 @@
             self._delete(instance_id)
         return True
 
-    def _remember_departure(self, now_ns: int, instance_id: str) -> None:
-        self.unknown_departures.pop(instance_id, None)
-        self.unknown_departures[instance_id] = now_ns
-        while len(self.unknown_departures) > MAX_UNKNOWN_DEPARTURES:
-            del self.unknown_departures[next(iter(self.unknown_departures))]
-
     def _publish(self, instance_id: str, registration: Registration) -> None:
         registration.published_version = self._publish_value(
             BACKEND_KEY_PREFIX + instance_id, registration.to_value()
@@ -271,6 +258,7 @@
 
     def _delete(self, instance_id: str) -> None:
         del self.registrations[instance_id]
+        self.unknown_departures.discard(instance_id)
         self._publish_value(BACKEND_KEY_PREFIX + instance_id, None)
 
 
--- a/meadowworks/simulation/control/counts.py
+++ b/meadowworks/simulation/control/counts.py
@@ -10,7 +10,7 @@
     """Sums over scenarios; the fields are those of the JSON object, and those in `VIOLATIONS` are to be 0.
 
     `most_slots` are undecided versions at one acceptor, `most_history` digests of past versions there,
-    `disk_kb` is the size of one machine's disk.
+    `disk_kb` is the size of one machine's disk. Drains, leaves and calls are counted as sent and as acknowledged.
     """
 
     days: int = 0
@@ -31,6 +31,12 @@
     most_slots: int = 0
     most_history: int = 0
     disk_kb: int = 0
+    drains: int = 0
+    drains_acked: int = 0
+    leaves: int = 0
+    leaves_acked: int = 0
+    calls: int = 0
+    calls_answered: int = 0
 
     def merge(self, other: ScenarioCounts) -> None:
         """Add another's counts; of `MAXIMA` the greater ones are kept."""
--- a/meadowworks/simulation/control/invariants.py
+++ b/meadowworks/simulation/control/invariants.py
@@ -12,13 +12,15 @@
 from meadowworks.consensus.messages import AcceptRequest, Request
 from meadowworks.consensus.timing import LEASE_DURATION_NS
 from meadowworks.consensus.values import AcceptorSlot, Ballot, CommittedValue, Epoch, digest
+from meadowworks.registry.backend_state import SUSPECT, UP
 from meadowworks.simulation.control.cluster import Cluster
 from meadowworks.simulation.control.counts import ScenarioCounts
 from meadowworks.simulation.control.node import ControlPlaneNode
-from meadowworks.simulation.event_scheduler import MS, SECOND
+from meadowworks.simulation.event_scheduler import MS, SECOND, Callback
 
 MAX_MESSAGES = 20  # that a scenario keeps
 CONTACT_SLACK_NS = 20 * MS  # a lease may rest on a message that left so long before the lease's time
+DRAIN_KNOWN_WITHIN_NS = 3 * SECOND  # of calm: as long as users take until a machine is in touch
 READ_AFTER_ACKNOWLEDGEMENT = 0.2  # the chance that a node is read right after an acknowledgement
 
 
@@ -36,6 +38,8 @@
         self._cluster = cluster
         self._chosen: dict[int, set[bytes]] = defaultdict(set)  # values by version
         self._acknowledged: list[tuple[int, int]] = []  # time, highest version acknowledged until then
+        self._drained_since_ns: dict[str, int] = {}  # backends whose drain or departure was acknowledged
+        self.acknowledgement_listeners: list[Callback] = []  # called with each kind of acknowledgement
         self._accepted_by: dict[tuple[int, Ballot], set[str]] = defaultdict(set)  # members
         self._installed_by: dict[int, set[str]] = defaultdict(set)  # members by epoch
         self._epochs: dict[int, Epoch] = {}
@@ -109,6 +113,7 @@
             self.on_chosen(version, value, f"acknowledged by {node.address}")
         elif committed.version < version:
             self.report_violation("acked_then_lost", f"{version} acknowledged at {committed.version}")
+        self._notify_acknowledgement()
         cluster = self._cluster
         if version > self.newest_acknowledged(cluster.now):
             self._acknowledged.append((cluster.now, version))
@@ -118,6 +123,25 @@
                     read = partial(other.deliver, other.incarnation, other.read)
                     cluster.scheduler.call_later(soon_ns, read)
 
+    # -- what backends are told
+
+    def on_drain_acknowledged(self, backend_id: str) -> None:
+        """Note that a backend was told that its drain or departure is known."""
+        self._drained_since_ns.setdefault(backend_id, self._cluster.now)
+        self._notify_acknowledgement()
+
+    def check_drains(self, node: ControlPlaneNode) -> None:
+        """Check that a node takes no backend back whose drain was acknowledged a while ago."""
+        for backend_id, since_ns in list(self._drained_since_ns.items()):
+            state = node.registry.backends.merged_state(backend_id)
+            if since_ns + DRAIN_KNOWN_WITHIN_NS < self._cluster.now and state in (UP, SUSPECT):
+                self.report_violation("drains_forgotten", f"{backend_id} is {state} at {node.address}")
+                del self._drained_since_ns[backend_id]  # once each
+
+    def _notify_acknowledgement(self) -> None:
+        for listener in self.acknowledgement_listeners:
+            listener()
+
     def on_conflict(self, version: int, value: bytes, node: ControlPlaneNode) -> None:
         """Check that a value which is refused was not chosen."""
         chosen = {digest(one) for one in self._chosen[version]}
--- a/meadowworks/simulation/control/node.py
+++ b/meadowworks/simulation/control/node.py
@@ -11,6 +11,7 @@
 from meadowworks.consensus.replica import Replica
 from meadowworks.simulation.control.cluster import Cluster
 from meadowworks.simulation.control.pull import Pull
+from meadowworks.simulation.control.registry_driver import RegistryDriver
 from meadowworks.simulation.control.replica_driver import OnOutcome, ReplicaDriver, RequestOrigin
 from meadowworks.simulation.control.simulated_disk import SimulatedDisk, SimulatedStore
 from meadowworks.simulation.event_scheduler import MS, SECOND, Callback
@@ -37,6 +38,7 @@
         self.cluster, self.address, self.voting = cluster, address, voting
         self.disk = SimulatedDisk(cluster.random)
         self._driver: ReplicaDriver | None = None
+        self._registry: RegistryDriver | None = None
         self.up = self.frozen = self.shutting_down = self.removed = False
         self.incarnation = 0
         self.voter_index = -1
@@ -66,6 +68,15 @@
         """The replica of this or the last incarnation."""
         return self.driver.replica
 
+    @property
+    def registry(self) -> RegistryDriver:
+        """What drives the registry of backends of this or the last incarnation.
+
+        :raises AssertionError: before the first.
+        """
+        assert self._registry is not None
+        return self._registry
+
     def local_time(self) -> int:
         """Return the time by the machine's own clock."""
         return self.cluster.now + self._clock_offset_ns
@@ -102,10 +113,12 @@
         )
         replica = Replica(acceptor, self.cluster.tolerated_failures, self.cluster.random.random)
         self._driver = ReplicaDriver(self, replica, store)
+        self._registry = RegistryDriver(self, store)
         epoch, version = acceptor.epoch.number, acceptor.committed.version
         self.log(f"starts: member {acceptor.member_id[:4]} epoch {epoch} at {version}")
         replica.start(self.local_time())
         self._driver.run_effects()
+        self._registry.tick()
         for address in list(self.cluster.nodes):
             if address != self.address:
                 self.begin_pulls(address, PULLS_BEGIN_WITHIN_NS)
@@ -115,6 +128,7 @@
         if not self.up:
             return
         self.driver.break_off_write(power_lost)
+        self.registry.break_off_write()
         self.up = False
         if self.shutting_down:
             self.removed = True  # nobody starts it again
--- a/meadowworks/simulation/control/pull.py
+++ b/meadowworks/simulation/control/pull.py
@@ -8,6 +8,7 @@
 
 from meadowworks.consensus.messages import QueryReply
 from meadowworks.consensus.values import CommittedValue, DigestHistory, Epoch
+from meadowworks.gossip.updates import SourceDelta
 from meadowworks.simulation.event_scheduler import MS, SECOND, Callback
 
 if TYPE_CHECKING:
@@ -15,7 +16,9 @@
 
 LONG_POLL_NS = SECOND // 2  # that a pull without news waits at its target
 TIMEOUT_NS = SECOND
+ACK_PENDING_POLL_NS = 50 * MS  # while the asker owes an acknowledgement of drains
 NEXT_PULL_NS = 10 * MS
+DRAIN_WRITE_WAIT_NS = 15 * MS  # that the next pull waits for a write of drains
 RETRY_NS = 300 * MS  # after a pull at a machine that is down
 
 
@@ -25,6 +28,8 @@
 
     version: int
     epoch: int
+    vector: dict[str, int]
+    source: str  # the asker's incarnation
     answer: Callback
 
     def lacks(self, version: int, epoch: int) -> bool:
@@ -40,6 +45,8 @@
     epoch: Epoch | None
     committed: CommittedValue | None
     history: DigestHistory
+    source: str
+    deltas: tuple[SourceDelta, ...]
 
 
 class Pull:
@@ -52,6 +59,12 @@
         self._incarnation = node.incarnation
         self._sent_ns = node.local_time()
         self._version, self._epoch = acceptor.committed.version, acceptor.newest_epoch().number
+        self._source = node.registry.source_id
+        self._vector = node.registry.updates.remote_version_vector()
+        target_source = node.registry.sources.get(target.address, "")
+        self._drain_acknowledgement = node.registry.drain_log.acknowledgement(target_source)
+        is_caught_up = node.registry.drain_log.is_caught_up(target_source)
+        self._long_poll_ns = LONG_POLL_NS if is_caught_up else ACK_PENDING_POLL_NS
         self._is_open = True
 
     def send(self) -> None:
@@ -76,14 +89,22 @@
         target = self._target
         if not target.up:
             return
+        target.deliver(target.incarnation, self._record_acknowledgement)
         answer = partial(self._answer, target.incarnation)
-        acceptor = target.replica.acceptor
-        pending = PendingPull(self._version, self._epoch, answer)
-        if pending.lacks(acceptor.committed.version, acceptor.epoch.number):
+        acceptor, registry = target.replica.acceptor, target.registry
+        pending = PendingPull(self._version, self._epoch, self._vector, self._source, answer)
+        is_urgent = pending.lacks(acceptor.committed.version, acceptor.epoch.number)
+        if is_urgent or registry.has_backend_news(self._vector, self._source):
             answer()
             return
         target.driver.pending_pulls.append(pending)
-        self._cluster.scheduler.call_later(LONG_POLL_NS, partial(self._end_wait, pending))
+        self._cluster.scheduler.call_later(self._long_poll_ns, partial(self._end_wait, pending))
+
+    def _record_acknowledgement(self) -> None:
+        if self._node.voting:
+            registry = self._target.registry
+            registry.drain_log.on_acknowledgement(self._node.address, *self._drain_acknowledgement)
+            registry.answer_durable_calls()
 
     def _end_wait(self, pending: PendingPull) -> None:
         if pending in self._target.driver.pending_pulls:
@@ -103,6 +124,8 @@
             acceptor.epoch if has_newer_epoch else None,
             acceptor.committed if has_newer_version else None,
             acceptor.digest_history(),
+            self._target.registry.source_id,
+            self._target.registry.deltas_for(self._vector, self._source),
         )
         arrive = partial(self._node.deliver, self._incarnation, partial(self._on_answer, answer))
         self._cluster.network.send(self._target.address, self._node.address, arrive)
@@ -118,4 +141,7 @@
         replica.on_query_reply(now, self._sent_ns, answer.state)
         if answer.committed is not None:
             replica.on_committed_value(now, answer.committed, answer.history)
-        self._end(NEXT_PULL_NS)
+        registry = self._node.registry
+        registry.apply(self._target.address, answer.source, answer.deltas)
+        is_caught_up = registry.drain_log.is_caught_up(answer.source)
+        self._end(NEXT_PULL_NS if is_caught_up else DRAIN_WRITE_WAIT_NS)
