Every guard of the control plane is missed by a scenario or a check of its own

Cause: no scenario, model or test missed install-majority, thaw and resend when these alone were taken out, and transfer by the model alone; drains had no guards in the lab. Backends came back after a loss of all power in the product, by hints on disk, and not in the lab. Change: test_guards_alone.py has a check of the machine itself for transfer, install-majority, thaw, resend, lease-in-epoch and write-before-reply, which holds with the guard and fails without it; `--guards` says so. never-below-2t+1 is found by points 3, 6 and 7. Two guards of drains (drain-on-disks, stranger-leaves); the lab stores and restores hints of live backends.

--- a/meadowworks/simulation/control/command.py
+++ b/meadowworks/simulation/control/command.py
@@ -13,7 +13,7 @@
 
 from meadowworks.cli.errors import CommandError
 from meadowworks.simulation.control.counts import ScenarioCounts
-from meadowworks.simulation.control.guards import GUARDS, GUARDS_BY_NAME, MASKED_GUARDS, without_guard
+from meadowworks.simulation.control.guards import CHECKED_GUARDS, GUARDS, GUARDS_BY_NAME, without_guard
 from meadowworks.simulation.control.scenarios import POINTS, run_scenario
 
 MAX_PROCESSES = 16
@@ -77,7 +77,7 @@
 def print_guards() -> None:
     """Print each guard, and the scenario in which it is missed."""
     for guard in GUARDS:
-        seen = "seen by no day alone" if guard.name in MASKED_GUARDS else f"point {guard.point}"
+        seen = "its own check" if guard.name in CHECKED_GUARDS else f"point {guard.point}"
         print(f"{guard.name:20} {seen:22} {guard.text}")
 
 
--- a/meadowworks/simulation/control/counts.py
+++ b/meadowworks/simulation/control/counts.py
@@ -10,7 +10,7 @@
     """Sums over scenarios; the fields are those of the JSON object, and those in `VIOLATIONS` are to be 0.
 
     `most_slots` are undecided versions at one acceptor, `most_history` digests of past versions there,
-    `disk_kb` is the size of one machine's disk. Drains, leaves and calls are counted as sent and as acknowledged.
+    `disk_kb` is the size of one machine's disk. Drains, leaves, calls are counted as sent and acknowledged.
     """
 
     days: int = 0
--- a/meadowworks/simulation/control/guards.py
+++ b/meadowworks/simulation/control/guards.py
@@ -21,8 +21,11 @@
 from meadowworks.consensus.reconfiguration import Reconfiguration
 from meadowworks.consensus.replica import Replica
 from meadowworks.consensus.write_queue import WriteQueue
+from meadowworks.registry.drain_log import DrainLog
+from meadowworks.registry.heartbeats import HeartbeatRegistry
 from meadowworks.simulation.control import acceptor_patches as acceptors
 from meadowworks.simulation.control import node
+from meadowworks.simulation.control import registry_patches as registries
 from meadowworks.simulation.control import replica_patches as replicas
 from meadowworks.simulation.control.replica_patches import NEVER_NS
 from meadowworks.simulation.control.simulated_disk import SimulatedStore
@@ -108,11 +111,14 @@
            Acceptor, "query_reply", acceptors.hide_undecided),
     _guard("thaw", "a process that stood still knows nobody's silence", 3,
            replica, "STALL_THRESHOLD_NS", NEVER_NS),
+    _guard("drain-on-disks", "a drain is on enough disks before it is acknowledged", 7,
+           DrainLog, "is_replicated", registries.always_replicated),
+    _guard("stranger-leaves", "the leave of an unknown backend is kept on disk", 6,
+           HeartbeatRegistry, "leave", registries.forget_strangers),
 )  # fmt: skip
-# Taken out alone, no scenario of 60 seeds found these gone; by reading, others stand behind them:
-# finish for transfer, complete_reconfiguration for install-majority, next_members for thaw, the operator's
-# next attempt for resend.
-MASKED_GUARDS = ("transfer", "install-majority", "never-below-2t+1", "thaw", "resend")
+# Taken out alone, 30 seeds of the guard's scenario do not miss these, because others stand behind them; a
+# check of the machine itself does (tests/simulation/test_guards_alone.py).
+CHECKED_GUARDS = ("transfer", "install-majority", "thaw", "resend", "lease-in-epoch", "write-before-reply")
 GUARDS_BY_NAME = {guard.name: guard for guard in GUARDS}
 
 
--- a/meadowworks/simulation/control/registry_driver.py
+++ b/meadowworks/simulation/control/registry_driver.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from meadowworks.controlplane.drain_service import decode_rows, encode_rows
+from meadowworks.gossip.messages import encode
 from meadowworks.gossip.updates import KeyUpdate, SourceDelta, UpdateStore
 from meadowworks.registry.backend_state import BACKEND_KEY_PREFIX
 from meadowworks.registry.backends import BackendDirectory
@@ -64,7 +65,9 @@
         self._pending_write: WriteBatch | None = None
         stored = decode_rows(store.load_drain_records())
         self.drain_log.restore(node.local_time(), stored)
-        self.heartbeats.restore(node.local_time(), stored)
+        hints = decode_rows(store.load_backend_hints())
+        self._hinted_ids = set(hints)
+        self.heartbeats.restore(node.local_time(), stored | hints)
 
     # -- calls of backends
 
@@ -147,6 +150,7 @@
         self.backends.changed_ids.clear()
         self.updates.publish(TICK_KEY, now)
         self.begin_write()
+        self._store_hints()
         again = partial(self._node.deliver, self._incarnation, self.tick)
         self._cluster.scheduler.call_later(TICK_NS, again)
 
@@ -159,6 +163,14 @@
 
     # -- writes
 
+    def _store_hints(self) -> None:
+        """Store the live backends whenever one has come or gone, as the program does."""
+        values = self.heartbeats.durable_values()
+        if values.keys() != self._hinted_ids:
+            rows = {backend_id: encode(value) for backend_id, value in values.items()}
+            self._store.save_backend_hints(rows)
+            self._hinted_ids = set(values)
+
     def begin_write(self) -> None:
         """Write what is not on the disk yet, unless a write is under way."""
         if self._pending_write is not None or (batch := self.drain_log.next_batch()) is None:
--- /dev/null
+++ b/meadowworks/simulation/control/registry_patches.py
@@ -0,0 +1,21 @@
+"""Stand-ins for methods of the registry of backends, each without one guard."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from meadowworks.registry.heartbeats import CallAccepted, CallOutcome, HeartbeatRegistry
+
+_leave = HeartbeatRegistry.leave
+
+
+def always_replicated(*_arguments: Any) -> bool:
+    """Count a drain as durable at once."""
+    return True
+
+
+def forget_strangers(self: HeartbeatRegistry, now_ns: int, instance_id: str) -> CallOutcome:
+    """Acknowledge the leave of an unknown backend without keeping it."""
+    if instance_id not in self.registrations and not self._is_known(instance_id):
+        return CallAccepted(0)
+    return _leave(self, now_ns, instance_id)
