--- a/meadowworks/consensus/acceptor.py
+++ b/meadowworks/consensus/acceptor.py
@@ -73,6 +73,7 @@
     changed_slots: set[int] = field(default_factory=set)
     metadata_changed: bool = False  # all but slots and values
     committed_changed: bool = False  # the committed value and the history
+    disk_failed: bool = False  # the disk refuses writes, or does not end them
 
     # -- what it is
 
@@ -88,6 +89,8 @@
 
     def may_vote(self) -> bool:
         """Whether it may promise and accept in its epoch."""
+        if self.disk_failed:
+            return False
         return self.installed and self.sealed_by is None and self.announced_epoch.number <= self.epoch.number
 
     def has_unwritten_changes(self) -> bool:
@@ -116,7 +119,7 @@
             self.committed.version,
             self.member_id,
             self.address,
-            self.wants_membership,
+            self.wants_membership and not self.disk_failed,  # another disk may take its place
         )
 
     # -- requests
--- a/meadowworks/consensus/replica.py
+++ b/meadowworks/consensus/replica.py
@@ -21,7 +21,14 @@
     InstallLaggingMembers,
     ProposeMembers,
 )
-from meadowworks.consensus.messages import InstallRequest, QueryReply, Reply, Request, StaleEpochReply
+from meadowworks.consensus.messages import (
+    InstallRequest,
+    NotAMemberReply,
+    QueryReply,
+    Reply,
+    Request,
+    StaleEpochReply,
+)
 from meadowworks.consensus.operation_runner import OperationRunner
 from meadowworks.consensus.operations import LEAVE_WAITER_ID, Operation, OperationKind
 from meadowworks.consensus.timing import (
@@ -69,6 +76,11 @@
 
     def on_request(self, now_ns: int, ticket: Any, request: Request) -> None:
         """A request from another replica; `SendReply` answers it with the same ticket."""
+        if self.acceptor.disk_failed:
+            # Guards against replies without number that wait for a disk which takes nothing any more.
+            reply = NotAMemberReply(self.acceptor.epoch.number)
+            self.effects.append(SendReply(ticket, self.acceptor.id_in_epoch(request.epoch), reply))
+            return
         member_id = self.acceptor.id_in_epoch(request.epoch)
         self.writes.defer(PeerReply(ticket, member_id, self.handle_request(now_ns, request)))
         self.flush(now_ns)
@@ -88,6 +100,7 @@
     def on_persisted(self, now_ns: int, write_id: int) -> None:
         """A write, and all before it, are on the disk."""
         self.writes.on_persisted(write_id)
+        self._check_disk(now_ns)
         self.flush(now_ns)
 
     def on_persist_failed(self, now_ns: int, write_id: int) -> None:  # noqa: ARG002  (one write is under way)
@@ -150,6 +163,7 @@
         if now_ns - self.last_tick_ns > STALL_THRESHOLD_NS:
             self.lease.on_stall(now_ns)
         self.last_tick_ns = now_ns
+        self._check_disk(now_ns)
         if (retry := self.writes.due_retry(now_ns)) is not None:
             self.effects.append(retry)
         for operation_id, operation in list(self.operations.items()):
@@ -186,7 +200,9 @@
     def holds_lease(self, now_ns: int) -> bool:
         """Whether this replica may answer for what it knows."""
         known_as_of_ns = self.known_as_of_ns(now_ns)
-        return known_as_of_ns is not None and not self.leaving and now_ns - known_as_of_ns < LEASE_DURATION_NS
+        if known_as_of_ns is None or self.leaving or self.acceptor.disk_failed:
+            return False
+        return now_ns - known_as_of_ns < LEASE_DURATION_NS
 
     def status(self, now_ns: int) -> dict[str, Any]:
         """The state that is shown to operators, as JSON."""
@@ -204,6 +220,7 @@
             "members_of_epoch": dict(acceptor.newest_epoch().members),
             "version": f"{acceptor.committed.version:08x}",
             "undecided": [f"{v:08x}" for v in sorted(acceptor.slots) if v],
+            **({"disk_failed": True} if acceptor.disk_failed else {}),
         }
 
     # -- what is due
@@ -212,9 +229,17 @@
         """Does what has waited for a write that is on the disk, then hands out the next write."""
         while self.writes.ready:
             self._resume(now_ns, self.writes.ready.popleft())
-        if (write := self.writes.next_write()) is not None:
+        if (write := self.writes.next_write(now_ns)) is not None:
             self.effects.append(write)
 
+    def _check_disk(self, now_ns: int) -> None:
+        """Give up vote and lease while the disk takes no writes; take them up again when it does."""
+        has_failed = self.writes.disk_has_failed(now_ns)
+        if has_failed == self.acceptor.disk_failed:
+            return
+        self.acceptor.disk_failed = has_failed
+        self.log("disk_failed" if has_failed else "disk_recovered")
+
     def _resume(self, now_ns: int, item: Deferred) -> None:
         match item:
             case Started():
--- a/meadowworks/consensus/timing.py
+++ b/meadowworks/consensus/timing.py
@@ -29,6 +29,8 @@
 # A tick that comes later than this: the process was suspended, and cannot tell who was silent meanwhile.
 STALL_THRESHOLD_NS = SECOND_NS
 WRITE_RETRY_DELAY_NS = 200 * MILLISECOND_NS  # before a write that the disk refused is tried again
+# A write that has not ended after this: the disk is unusable. Well above a large write of a slow disk.
+DISK_FAILURE_TIMEOUT_NS = SECOND_NS
 # How long a replica tries to finish what another has begun before it looks again whether that is needed.
 FINISH_TIMEOUT_NS, RECONFIGURATION_TIMEOUT_NS = SECOND_NS, 2 * SECOND_NS
 # What is pending when a replica shuts down has so long to end.
--- a/meadowworks/consensus/write_queue.py
+++ b/meadowworks/consensus/write_queue.py
@@ -14,7 +14,7 @@
 from meadowworks.consensus.effects import Persist, StateUpdate
 from meadowworks.consensus.messages import Reply
 from meadowworks.consensus.metadata import acceptor_metadata
-from meadowworks.consensus.timing import WRITE_RETRY_DELAY_NS
+from meadowworks.consensus.timing import DISK_FAILURE_TIMEOUT_NS, WRITE_RETRY_DELAY_NS
 from meadowworks.consensus.values import AcceptorSlot
 
 
@@ -53,6 +53,7 @@
         self.last_write_id = self.last_written_id = 0
         self.write_in_flight = 0  # its id; 0: none
         self.update_in_flight: StateUpdate | None = None
+        self.write_began_ns = 0  # when the write in flight was first handed out
         self.write_retry_ns = 0  # when a write that was refused is tried again; 0: none was
         self.awaiting_write: deque[tuple[int, Deferred]] = deque()  # and the id of the write
         self.ready: deque[Deferred] = deque()
@@ -67,11 +68,12 @@
         else:
             self.ready.append(item)
 
-    def next_write(self) -> Persist | None:
+    def next_write(self, now_ns: int) -> Persist | None:
         """The next write, if there is anything to write and none is under way."""
         if self.write_in_flight or not self._acceptor.has_unwritten_changes():
             return None
         self.last_write_id += 1
+        self.write_began_ns = now_ns
         self.write_in_flight, self.update_in_flight = self.last_write_id, self.collect_update()
         return Persist(self.last_write_id, self.update_in_flight)
 
@@ -92,6 +94,10 @@
         self.write_retry_ns = 0
         return Persist(self.write_in_flight, self.update_in_flight)
 
+    def disk_has_failed(self, now_ns: int) -> bool:
+        """Whether a write was refused, or has not ended, for so long that the disk counts as unusable."""
+        return bool(self.write_in_flight) and now_ns - self.write_began_ns > DISK_FAILURE_TIMEOUT_NS
+
     def collect_update(self) -> StateUpdate:
         """What the acceptor has changed since the last write, as a copy."""
         acceptor = self._acceptor
--- a/meadowworks/controlplane/metrics.py
+++ b/meadowworks/controlplane/metrics.py
@@ -43,6 +43,7 @@
         yield gauge(
             PREFIX + "voting", "1 if this node's disk is a member and may vote.", Sample(acceptor.may_vote())
         )
+        yield gauge(PREFIX + "disk_failed", "1 if the disk takes no writes.", Sample(acceptor.disk_failed))
         yield gauge(PREFIX + "epoch", "Number of the newest epoch known here.", Sample(epoch.number))
         yield gauge(PREFIX + "members", "Members of that epoch.", Sample(len(epoch.members)))
         yield gauge(PREFIX + "peers", "Nodes that this node knows.", Sample(len(node.cluster.peers.peers)))
--- a/meadowworks/controlplane/server.py
+++ b/meadowworks/controlplane/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sqlite3
 
 from meadowworks.controlplane.api import Routes
 from meadowworks.controlplane.api_endpoint import ApiEndpoint
@@ -18,6 +19,7 @@
 from meadowworks.runtime.asgi import Send
 from meadowworks.runtime.background_tasks import BackgroundTasks
 from meadowworks.runtime.clock import NS_PER_SECOND
+from meadowworks.runtime.errors import SettingsError
 from meadowworks.runtime.http_server import HttpServer
 from meadowworks.runtime.live_settings import LiveSettings
 from meadowworks.runtime.node_settings import NodeSettings
@@ -81,7 +83,7 @@
         """Run the node until its shutdown is requested and done.
 
         :raises OSError: an address can't be listened on.
-        :raises sqlite3.Error: the store refuses the first write.
+        :raises SettingsError: the store refuses the first write.
         :raises InvariantError: the node's state can't be trusted any more.
         """
         self._live_settings.reload_on_sighup()
@@ -120,7 +122,10 @@
         """Open the peer port first: the API opens once the node's incarnation is on the disk."""
         settings = self.settings
         await self.peer_server.listen(settings.ip, settings.peer_port)
-        await self.node.config_service.start()
+        try:
+            await self.node.config_service.start()
+        except sqlite3.Error as error:
+            raise unusable_disk(settings, error) from None
         host, port = settings.bind["ctl"]
         await self.api_server.listen(host, port)
         log.info(
@@ -170,8 +175,20 @@
 
 
 async def serve(settings: NodeSettings, shutdown_requested: asyncio.Future[None]) -> None:
-    """Run one node until its shutdown is requested."""
-    await ControlPlaneServer(settings).serve(shutdown_requested)
+    """Run one node until its shutdown is requested.
+
+    :raises SettingsError: the data directory cannot be used.
+    """
+    try:
+        server = ControlPlaneServer(settings)
+    except (sqlite3.Error, OSError) as error:
+        raise unusable_disk(settings, error) from None
+    await server.serve(shutdown_requested)
+
+
+def unusable_disk(settings: NodeSettings, error: Exception) -> SettingsError:
+    """What an operator is told of a data directory that cannot be opened, read or written."""
+    return SettingsError(f"the data directory {settings.data_dir} cannot be used: {error}")
 
 
 def main() -> int:
--- a/meadowworks/runtime/process.py
+++ b/meadowworks/runtime/process.py
@@ -24,7 +24,8 @@
     """Run a program until it receives SIGTERM or SIGINT.
 
     :param serve: gets the settings and a future, and returns once it has shut down after the future is done.
-    :returns: the exit code: 0 after a shutdown, 1 after a failure, 2 for settings that are invalid.
+    :returns: the exit code: 0 after a shutdown, 1 after a failure, 2 for settings that are invalid, or that
+        name a disk that cannot be used.
     """
     try:
         settings = load_settings()
@@ -34,6 +35,9 @@
         return EXIT_BAD_SETTINGS
     try:
         asyncio.run(_serve_until_signal(serve, settings))
+    except SettingsError as error:
+        print(f"meadowworks: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
     except OSError as error:
         print(f"meadowworks: {error.strerror or error}", file=sys.stderr)
         return EXIT_FAILURE
--- a/tests/consensus/test_write_queue.py
+++ b/tests/consensus/test_write_queue.py
@@ -14,7 +14,7 @@
     queue = WriteQueue(member("a"))
     queue.defer(Started())
     assert list(queue.ready) == [Started()]
-    assert queue.next_write() is None
+    assert queue.next_write(0) is None
 
 
 def test_what_comes_while_a_write_is_under_way_waits_for_the_write_that_holds_it() -> None:
@@ -22,14 +22,14 @@
     queue = WriteQueue(acceptor)
     acceptor.learn(1, b"one")
     queue.defer(FIRST)
-    write = queue.next_write()
+    write = queue.next_write(0)
     assert write is not None
-    assert queue.next_write() is None  # one at a time
+    assert queue.next_write(0) is None  # one at a time
     acceptor.learn(2, b"two")
     queue.defer(SECOND)
     queue.on_persisted(write.write_id)
     assert list(queue.ready) == [FIRST]
-    later = queue.next_write()
+    later = queue.next_write(0)
     assert later is not None
     assert later.update.committed is not None
     assert (later.update.committed.version, set(later.update.history)) == (2, {2})
@@ -42,7 +42,7 @@
     queue = WriteQueue(acceptor)
     acceptor.learn(1, b"one")
     queue.defer(FIRST)
-    write = queue.next_write()
+    write = queue.next_write(0)
     queue.on_persist_failed(now_ns=0)
     acceptor.learn(2, b"two")
     assert queue.due_retry(WRITE_RETRY_DELAY_NS - 1) is None
