What nobody waits for is no demand; malformed updates leave nothing; unknown fields are named

A malformed update left an empty entry in `BackendDirectory.reports`, and a warm-up that is no number raised out of `on_update`. A field of a route that no reader knows was dropped without a word.

--- a/meadowworks/config/route_table.py
+++ b/meadowworks/config/route_table.py
@@ -14,6 +14,9 @@
 MAX_PLAIN_NUMBER = 1e15  # below it every integer is exact as a float; larger ones are left to the schema
 NUMBER_TYPES = (int, float)  # by `type`, since a bool is an int, too
 ROUTE_TYPES = ("safe", "unsafe")
+ROUTE_FIELDS = frozenset(
+    ("name", "prefix", "type", "deadlineMs", "targetMs", "prio", "svc", "split", "tries")
+)  # of the users' page; others pass, and are reported
 ROUTES_PER_STEP = 64  # that are put into a table between two steps: some hundred microseconds
 ROUTES_PATH = ("vhosts", None, "prefixes")  # where the routes stand in the configuration's JSON
 
@@ -144,10 +147,25 @@
     )
 
 
-def route_compactor() -> Callable[[JsonValue], Any]:
-    """Return what turns the plain routes of a text into `Route`s as they are read, and leaves the others."""
+def note_unknown_fields(raw: JsonValue, unknown_fields: set[str]) -> None:
+    """Add the names of a route's fields that no reader of routes knows."""
+    if type(raw) is dict and not raw.keys() <= ROUTE_FIELDS:
+        unknown_fields.update(raw.keys() - ROUTE_FIELDS)
+
+
+def route_compactor(unknown_fields: set[str] | None = None) -> Callable[[JsonValue], Any]:
+    """Return what turns the plain routes of a text into `Route`s as they are read, and leaves the others.
+
+    :param unknown_fields: gets the names of fields that no reader of routes knows.
+    """
     cache = WeightedServicesCache()
-    return lambda raw: parse_plain_route(raw, cache) or raw
+
+    def compact(raw: JsonValue) -> Any:
+        if unknown_fields is not None:
+            note_unknown_fields(raw, unknown_fields)
+        return parse_plain_route(raw, cache) or raw
+
+    return compact
 
 
 def _are_plain_times(deadline: JsonValue, target: JsonValue) -> bool:
--- a/meadowworks/config/validation.py
+++ b/meadowworks/config/validation.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from marshmallow import ValidationError, fields
@@ -20,6 +20,7 @@
     ROUTES_PER_STEP,
     Route,
     WeightedServicesCache,
+    note_unknown_fields,
     parse_plain_route,
     route_compactor,
 )
@@ -50,9 +51,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ValidConfiguration:
-    """A configuration that may be taken, and the number of its version."""
+    """A configuration that may be taken, and the number of its version.
+
+    :ivar unknown_fields: of its routes, sorted: they have no effect.
+    """
 
     version: int
+    unknown_fields: tuple[str, ...] = field(default=(), compare=False)
 
 
 class _SchemaError(Exception):
@@ -66,14 +71,18 @@
 
 def validation_steps(body: bytes) -> Steps[ValidConfiguration | InvalidConfiguration]:
     """Say whether a configuration may be taken, in steps, for one that is large."""
+    unknown_fields: set[str] = set()
     try:
-        document = yield from parse_steps(body, ROUTES_PATH, route_compactor())
+        document = yield from parse_steps(body, ROUTES_PATH, route_compactor(unknown_fields))
     except (ValueError, RecursionError):
         return InvalidConfiguration("it cannot be read whole")
     try:
-        return (yield from _DocumentValidator(document).steps())
+        checked = yield from _DocumentValidator(document, unknown_fields).steps()
     except _SchemaError as error:
         return InvalidConfiguration(str(error))
+    if isinstance(checked, ValidConfiguration) and unknown_fields:
+        return replace(checked, unknown_fields=tuple(sorted(unknown_fields)))
+    return checked
 
 
 class _DocumentValidator:
@@ -82,8 +91,9 @@
     :raises _SchemaError: from its steps, at the first element that is not as the schema says.
     """
 
-    def __init__(self, document: JsonValue) -> None:
+    def __init__(self, document: JsonValue, unknown_fields: set[str]) -> None:
         self._document = document
+        self._unknown_fields = unknown_fields  # of routes
         self._services: set[str] = set()
         self._route_names: set[str] = set()
         self._prefixes_by_host: dict[str, set[str]] = {}
@@ -139,6 +149,7 @@
                 raws[number],
                 None,
             )  # released one by one: all at once would hold the loop, too
+            note_unknown_fields(raw, self._unknown_fields)
             route = raw if type(raw) is Route else parse_plain_route(raw, self._cache)
             if route is not None:
                 error = _unknown_service_error((s.name for s in route.weighted_services), self._services)
--- a/meadowworks/controlplane/config_resource.py
+++ b/meadowworks/controlplane/config_resource.py
@@ -16,6 +16,7 @@
 COMMIT_TIMEOUT_PER_BYTE_NS = 100  # on top: the value is compressed, sent, and written twice on a disk
 READ_TIMEOUT_NS = 800_000_000  # as for a commit
 LARGE_CONFIG_BYTES = 1 << 18  # a larger one is validated alone: that takes four times its size in memory
+MAX_FIELDS_LOGGED = 20
 NO_LEASE_RETRY_S = 1.0  # a lease is renewed by pulls, several a second
 log = logs.get_logger("api")
 
@@ -47,6 +48,12 @@
         if isinstance(checked, InvalidConfiguration):
             log.info("config_rejected", reason=checked.reason)
             return error_reply(400, checked.reason)
+        if checked.unknown_fields:
+            log.warning(
+                "config_fields_unknown",
+                version=f"{checked.version:08x}",
+                fields=list(checked.unknown_fields[:MAX_FIELDS_LOGGED]),
+            )
         timeout_ns = COMMIT_TIMEOUT_NS + COMMIT_TIMEOUT_PER_BYTE_NS * len(body)
         match await self._config_service.propose(checked.version, body, timeout_ns):
             case Conflict():
--- a/meadowworks/proxy/forwarder.py
+++ b/meadowworks/proxy/forwarder.py
@@ -111,7 +111,10 @@
             client.deadline_ns,
             retry_budget,
         )
-        return await AttemptRunner(self, attempts, balancer, route, request, client).run(now)
+        result = await AttemptRunner(self, attempts, balancer, route, request, client).run(now)
+        if client.has_gone() and isinstance(result, RejectRequest):
+            self._reporter.withdraw_request(service)
+        return result
 
     def backend(self, balancer: ServiceBalancer, endpoint: int) -> BackendInstance:
         """The backend instance of an endpoint's number."""
--- a/meadowworks/proxy/load_reporting.py
+++ b/meadowworks/proxy/load_reporting.py
@@ -40,15 +40,32 @@
         self._pool = pool
         self._unsent = LoadReport()
         self._last_second = LoadReport()
+        self._withdrawn: dict[str, int] = {}  # requests by service that were reported as demand and are none
         view.gossip.update_listeners.append(self.on_update)
 
     # -- this proxy's own report
 
     def record_request(self, service: str) -> None:
         """Count a request that was admitted or rejected by the proxy itself."""
+        if self._withdrawn.get(service, 0):
+            self._withdrawn[service] -= 1
+            return
         self._unsent.record_request(service)
         self._last_second.record_request(service)
 
+    def withdraw_request(self, service: str) -> None:
+        """Take back a request that was not served because its client has gone.
+
+        Guards against clients that come and go: what nobody waits for is no demand, and would have the
+        policy refuse others.
+        """
+        if self._unsent.service_requests.get(service, 0):
+            self._unsent.service_requests[service] -= 1
+        else:
+            self._withdrawn[service] = self._withdrawn.get(service, 0) + 1
+        if self._last_second.service_requests.get(service, 0):
+            self._last_second.service_requests[service] -= 1
+
     def record_attempt(self, instance_id: str, result: AttemptResult) -> None:
         """Count an attempt that has ended."""
         answered, elapsed_ms = result.outcome == ANSWERED, result.elapsed_ns / MS
--- a/meadowworks/registry/backends.py
+++ b/meadowworks/registry/backends.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -37,6 +38,7 @@
     capacity: float
     state: str
     sequence: int
+    warmup_ms: float
     suspect: bool
 
     @classmethod
@@ -45,11 +47,23 @@
 
         :raises TypeError, ValueError: if it is malformed.
         """
-        service, address, zone, capacity, state, sequence, _, suspect = raw
-        if state not in STATE_RANK:
+        value = BackendValue._make(raw)
+        if value.state not in STATE_RANK:
             raise ValueError("unknown state")
+        if value.address:
+            split_address(str(value.address))
+        warmup_ms = float(value.warmup_ms)
+        if not 0 <= warmup_ms < math.inf:
+            raise ValueError("no time to warm up")
         return cls(
-            str(service), str(address), str(zone), float(capacity), str(state), int(sequence), bool(suspect)
+            service=str(value.service),
+            address=str(value.address),
+            zone=str(value.zone),
+            capacity=float(value.capacity),
+            state=str(value.state),
+            sequence=int(value.sequence),
+            warmup_ms=warmup_ms,
+            suspect=bool(value.suspect),
         )
 
 
@@ -78,6 +92,15 @@
         return self.state not in (DRAINING, GONE)
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """The host and the port of an address.
+
+    :raises ValueError: if it has no port.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 class BackendDirectory:
     """The instances that this process knows.
 
@@ -103,20 +126,17 @@
         if not update.key.startswith(BACKEND_KEY_PREFIX):
             return
         instance_id = update.key.removeprefix(BACKEND_KEY_PREFIX)
-        reports = self.reports.setdefault(instance_id, {})
         if update.value is None:
-            reports.pop(update.source, None)
-            if not reports:
-                del self.reports[instance_id]
+            self._remove_report(instance_id, update.source)
         else:
             try:
                 report = BackendReport.from_value(update.value)
             except (TypeError, ValueError):
                 return
-            reports[update.source] = report
+            self.reports.setdefault(instance_id, {})[update.source] = report
             self._sources.add(update.source)
             if instance_id not in self.instances:
-                self._add_instance(instance_id, report, BackendValue._make(update.value))
+                self._add_instance(instance_id, report)
         self._refresh(instance_id)
 
     def mark_superseded(self, instance_id: str) -> None:
@@ -173,21 +193,27 @@
             for instance_id, instance in sorted(self.instances.items())
         }
 
-    def _add_instance(self, instance_id: str, report: BackendReport, value: BackendValue) -> None:
-        if not value.address:  # the departure of an instance that was unknown to its node
+    def _remove_report(self, instance_id: str, source: str) -> None:
+        reports = self.reports.get(instance_id, {})
+        reports.pop(source, None)
+        if not reports:
+            self.reports.pop(instance_id, None)
+
+    def _add_instance(self, instance_id: str, report: BackendReport) -> None:
+        if not report.address:  # the departure of an instance that was unknown to its node
             return
-        host, _, port = report.address.rpartition(":")
+        host, port = split_address(report.address)
         now_ns = self.clock()
         self.instances[instance_id] = BackendInstance(
             instance_id,
             report.service,
             host,
-            int(port),
+            port,
             report.zone,
             report.capacity,
             "",  # no state yet: the first merge sets it, and counts as a change
             now_ns,
-            now_ns + int(float(value.warmup_ms) * NS_PER_MS) if value.warmup_ms else 0,
+            now_ns + int(report.warmup_ms * NS_PER_MS) if report.warmup_ms else 0,
         )
 
     def _refresh(self, instance_id: str) -> None:
--- a/tests/gateway/test_backend_directory.py
+++ b/tests/gateway/test_backend_directory.py
@@ -4,7 +4,10 @@
 
 from typing import Any
 
+import pytest
+
 from meadowworks.gossip.updates import KeyUpdate
+from meadowworks.registry.backend_state import BackendValue
 from meadowworks.registry.backends import BackendDirectory
 from meadowworks.registry.heartbeats import CallAccepted, HeartbeatRegistry
 from tests.gateway.helpers import HEARTBEAT, SECOND, recording_publisher
@@ -57,3 +60,30 @@
     silent["two"] = 9 * SECOND  # nobody at all is heard: that says nothing of the backends
     directory.refresh_all()
     assert directory.instances["i"].state == "up"
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"warmup_ms": "soon"},
+        {"warmup_ms": -1},
+        {"warmup_ms": float("inf")},
+        {"warmup_ms": None},
+        {"address": "no-port"},
+        {"address": "h:port"},
+        {"capacity": "many"},
+        {"sequence": []},
+        {"state": "well"},
+    ],
+)
+def test_a_malformed_report_changes_nothing_and_leaves_nothing(changed: dict[str, Any]) -> None:
+    directory = BackendDirectory(lambda _: 0, lambda: 0)
+    sound = BackendValue("s", "h:1", "z", 2.0, "up", 1, 0, 0)
+    directory.on_update(KeyUpdate("source", "b/i", list(sound._replace(**changed))))
+    assert not directory.reports
+    assert not directory.instances
+    directory.on_update(KeyUpdate("source", "b/i", list(sound)))
+    assert directory.instances["i"].state == "up"
+    directory.on_update(KeyUpdate("source", "b/i", None))
+    directory.on_update(KeyUpdate("source", "b/unknown", None))
+    assert not directory.reports
--- a/tests/gateway/test_validation.py
+++ b/tests/gateway/test_validation.py
@@ -19,6 +19,7 @@
     route_error,
     validate_configuration,
 )
+from meadowworks.local.system import build_configuration
 from meadowworks.runtime.schema_support import first_error
 from tests.gateway.configurations import CONFIG
 from tests.gateway.mutations import mutants
@@ -156,3 +157,16 @@
 
 def test_errors_are_reported_in_the_order_of_the_schemas_fields() -> None:
     assert validation.FIELD_KEYS == ["ver", "svcs", "limits", "vhosts"]
+
+
+def test_fields_of_routes_that_nobody_knows_pass_and_are_named() -> None:
+    document = json.loads(build_configuration(7, {"/a/": ("safe", "s"), "/b/": ("unsafe", "s")}))
+    routes = [route for host in document["vhosts"] for route in host["prefixes"]]
+    routes[0]["dedlineMs"] = 5
+    routes[1] |= {"sessions": "cookie", "prio": "1"}  # not of the plain form
+    checked = validate_configuration(json.dumps(document).encode())
+    assert isinstance(checked, ValidConfiguration)
+    assert checked.unknown_fields == ("dedlineMs", "sessions")
+    plain = validate_configuration(build_configuration(7, {"/a/": ("safe", "s")}))
+    assert isinstance(plain, ValidConfiguration)
+    assert plain.unknown_fields == ()
