--- a/meadowworks/modelcheck/seeded_faults/gossip.py
+++ b/meadowworks/modelcheck/seeded_faults/gossip.py
@@ -32,8 +32,8 @@
         "a signalbox's first word of a life stands",
         MODEL,
         DIRECTORY + "on_update",
-        "reports[update.source] = report",
-        "reports.setdefault(update.source, report)",
+        "self.reports.setdefault(instance_id, {})[update.source] = report",
+        "self.reports.setdefault(instance_id, {}).setdefault(update.source, report)",
         ("own words",),
     ),
     SeededFault(
