--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -92,6 +92,7 @@
         refused = await fleet.serve(0, b"POST", b"/order/b")
         assert refused.status == 503
         assert refused.header(b"retry-after")
+        assert refused.header(b"x-backend-seal") is None
         assert now_ns() - began < SECOND
         assert node.counters.route_failures == {name: {"broken off": 1}}
         never.set()
