--- a/meadowworks/local/system.py
+++ b/meadowworks/local/system.py
@@ -102,7 +102,7 @@
         ip = self.ip_address(index)
         return {
             "self": {
-                "node": f"{'signalbox' if in_control_plane else 'junction'}-{index}",
+                "node": f"{'control-plane' if in_control_plane else 'proxy'}-{index}",
                 "serves": ["ctl" if in_control_plane else "edge"],
                 "ip": ip,
                 "zone": list(ZONES)[index % len(ZONES)],
--- a/tests/gateway/test_node_settings.py
+++ b/tests/gateway/test_node_settings.py
@@ -31,7 +31,7 @@
             errors.append(str(error))
     assert not [error for error in errors if "\n" in error or len(error) >= 300]
     assert len(errors) > 60
-    assert node_settings.parse_settings(json.dumps({**SETTINGS, "unknown": 1})).node == "signalbox-0"
+    assert node_settings.parse_settings(json.dumps({**SETTINGS, "unknown": 1})).node == "control-plane-0"
     with pytest.raises(SettingsError, match="MEADOWWORKS_NODE_FILE is not set"):
         node_settings.load_settings({})
     with pytest.raises(SettingsError, match="cannot be read"):
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -32,7 +32,7 @@
 
 
 async def start_fleet(fleet: Fleet) -> Any:  # noqa: F811
-    """A gateway with version 1 in force, whose backends wait for a gate; the first junction."""
+    """A gateway with version 1 in force, whose backends wait for a gate; the first proxy."""
     await fleet.begin()
     await replace_config(fleet, 0, 1, ROUTES)
     await fleet.ready()
