A frozen process is no failed disk; the wiring of priorities, gone clients and watches is tested

Cause: reading the change again. After a freeze of over 1 s with a write in flight a member said disk_failed, gave up its membership and logged it, though its disk was sound. Change: `WriteQueue.on_stall` begins the time of the write in flight anew. test_forwarder.py asks what a forwarder hands on; the cases of priorities, the early answers and the build stand in tables, none is dropped.

--- a/meadowworks/consensus/replica.py
+++ b/meadowworks/consensus/replica.py
@@ -171,6 +171,7 @@
         """Time has passed; `next_tick_ns` says when to call."""
         if now_ns - self.last_tick_ns > STALL_THRESHOLD_NS:
             self.lease.on_stall(now_ns)
+            self.writes.on_stall(now_ns)
         self.last_tick_ns = now_ns
         self._check_disk(now_ns)
         if (retry := self.writes.due_retry(now_ns)) is not None:
--- a/meadowworks/consensus/write_queue.py
+++ b/meadowworks/consensus/write_queue.py
@@ -98,6 +98,10 @@
         """Whether a write was refused, or has not ended, for so long that the disk counts as unusable."""
         return bool(self.write_in_flight) and now_ns - self.write_began_ns > DISK_FAILURE_TIMEOUT_NS
 
+    def on_stall(self, now_ns: int) -> None:
+        """This process was suspended, and with it the write in flight: its time begins anew."""
+        self.write_began_ns = now_ns
+
     def collect_update(self) -> StateUpdate:
         """What the acceptor has changed since the last write, as a copy."""
         acceptor = self._acceptor
--- a/tests/consensus/test_disk_failure.py
+++ b/tests/consensus/test_disk_failure.py
@@ -106,11 +106,17 @@
     assert logged.count("disk_failed") == 1
 
 
-def test_a_slow_disk_is_no_failed_one() -> None:
+@pytest.mark.parametrize("frozen", [False, True])
+def test_neither_a_slow_disk_nor_a_frozen_process_is_a_failed_disk(frozen: bool) -> None:
     replica = started(member("a"))
-    replica.on_request(0, "first", prepare(1))
+    replica.tick(1)
+    replica.take_effects()
+    replica.on_request(1, "first", prepare(1))
     write = next(effect for effect in replica.take_effects() if isinstance(effect, Persist))
-    run(replica, 1, DISK_FAILURE_TIMEOUT_NS, refuses=False)
+    now_ns = 10 * DISK_FAILURE_TIMEOUT_NS if frozen else DISK_FAILURE_TIMEOUT_NS
+    if not frozen:
+        run(replica, 2, now_ns, refuses=False)
+    replica.tick(now_ns)  # the write's end is reported after it
     assert replica.acceptor.may_vote()
-    replica.on_persisted(DISK_FAILURE_TIMEOUT_NS, write.write_id)
+    replica.on_persisted(now_ns, write.write_id)
     assert replica.acceptor.may_vote()
--- a/tests/gateway/test_build_line.py
+++ b/tests/gateway/test_build_line.py
@@ -8,35 +8,23 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).parents[2]
-
-
-def build(folder: Path) -> subprocess.CompletedProcess[str]:
-    line = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))["build"]
-    environment = {**os.environ, "PIP_NO_INDEX": "1"}
-    return subprocess.run(
-        ["sh", "-c", line],
-        cwd=folder,
-        env=environment,
-        capture_output=True,
-        text=True,
-        check=False,
-        timeout=120,
-    )
-
+import pytest
 
-def test_without_an_index_the_build_fails_with_its_reason(tmp_path: Path) -> None:
-    shutil.copy(ROOT / "requirements-gateway.txt", tmp_path)
-    (tmp_path / "meadowworks").mkdir()
-    found = build(tmp_path)
-    assert found.returncode != 0
-    assert "No matching distribution" in found.stderr
-    assert not (tmp_path / "target" / "deps" / ".done").exists()
+ROOT = Path(__file__).parents[2]
+LINE = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))["build"]
 
 
-def test_libraries_that_are_there_need_no_index(tmp_path: Path) -> None:
+@pytest.mark.parametrize("has_libraries", [False, True])
+def test_a_build_without_an_index_needs_its_libraries(has_libraries: bool, tmp_path: Path) -> None:
     shutil.copy(ROOT / "requirements-gateway.txt", tmp_path)
     (tmp_path / "meadowworks").mkdir()
-    (tmp_path / "target" / "deps").mkdir(parents=True)
-    shutil.copy(ROOT / "requirements-gateway.txt", tmp_path / "target" / "deps" / ".done")
-    assert build(tmp_path).returncode == 0
+    done = tmp_path / "target" / "deps" / ".done"
+    if has_libraries:
+        done.parent.mkdir(parents=True)
+        shutil.copy(ROOT / "requirements-gateway.txt", done)
+    environment = {**os.environ, "PIP_NO_INDEX": "1"}
+    found = subprocess.run(
+        ["sh", "-c", LINE], cwd=tmp_path, env=environment, capture_output=True, text=True, check=False
+    )
+    assert (found.returncode == 0) == has_libraries == done.exists()
+    assert ("No matching distribution" in found.stderr) != has_libraries
--- /dev/null
+++ b/tests/gateway/test_forwarder.py
@@ -0,0 +1,105 @@
+"""`proxy.forwarder`: what it asks of its parts for one request."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from meadowworks.attempts.retry_policy import NEVER_RAN
+from meadowworks.config.route_table import Route
+from meadowworks.forwarding.connection_pool import ConnectionPool
+from meadowworks.forwarding.endpoint_selection import EndpointChoices
+from meadowworks.forwarding.memory_budget import MemoryBudget, MemoryReservation
+from meadowworks.forwarding.request_attempts import RejectRequest
+from meadowworks.load_balancing.service_balancer import ServiceBalancer
+from meadowworks.proxy import forwarder as forwarder_module
+from meadowworks.proxy.counters import ProxyCounters
+from meadowworks.proxy.forwarder import ClientContext, Forwarder
+from meadowworks.proxy.upstream_attempt import AttemptResult, UpstreamRequest
+from meadowworks.runtime.background_tasks import BackgroundTasks
+from meadowworks.runtime.clock import now_ns
+from tests.gateway.helpers import SECOND, backend
+
+REQUEST = UpstreamRequest(b"GET", b"/a", [], b"", b"q")
+
+
+def route_of(priority: int) -> Route:
+    return Route("r", False, 1000.0, 300.0, priority, 1, (), "/")
+
+
+class Parts:
+    """A forwarder whose service has a balancer, and one backend if a choice is given."""
+
+    def __init__(self) -> None:
+        self.withdrawn: list[str] = []
+        self.balancer = ServiceBalancer("s", ["north"], "north", SECOND, 1, 0)
+        self.choices = EndpointChoices({}, {})
+        bounds = SimpleNamespace(retry_window_s=10.0, retry_ratio=0.2)
+        settings = SimpleNamespace(current=SimpleNamespace(bounds=bounds, zone="north"))
+        view = SimpleNamespace(balancers={"s": self.balancer}, backends=SimpleNamespace(instances={}))
+        reporter = SimpleNamespace(
+            record_request=lambda _: None,
+            withdraw_request=self.withdrawn.append,
+            record_attempt=lambda *_: None,
+        )
+        selector = SimpleNamespace(select=lambda *_: self.choices)
+        parts: Any = (
+            settings,
+            view,
+            ConnectionPool(),
+            selector,
+            reporter,
+            ProxyCounters(),
+            BackgroundTasks(),
+        )
+        self.forwarder = Forwarder(*parts)
+
+    def forward(self, priority: int = 0, gone: bool = False) -> Any:
+        connection = cast(Any, SimpleNamespace(disconnected=gone, on_disconnect=None))
+        memory = MemoryReservation(MemoryBudget(100))
+        client = ClientContext(now_ns() + SECOND, memory, connection)
+        return asyncio.run(self.forwarder.forward(route_of(priority), "s", REQUEST, client))
+
+
+def test_the_less_urgent_of_two_priorities_is_refused_more_often() -> None:
+    parts = Parts()
+    parts.balancer.admission_ratio = 0.5
+    for _ in range(200):
+        parts.forward(0)
+        parts.forward(1)
+    assert set(parts.balancer.priorities.counts) == {0, 1}
+    rejected = parts.forwarder.counters.responses["let in no more"]
+    ratios = parts.balancer.priorities.ratios(0.5)
+    assert ratios[0] > 0.8 > 0.2 > ratios[1]
+    assert rejected == pytest.approx(200, abs=50)
+    parts.forwarder.random = cast(Any, SimpleNamespace(random=lambda: 0.5))
+    parts.forward(0)
+    assert parts.forwarder.counters.responses["let in no more"] == rejected  # it was let in
+    parts.forward(1)
+    assert parts.forwarder.counters.responses["let in no more"] == rejected + 1
+
+
+@pytest.mark.parametrize("gone", [True, False])
+def test_what_was_not_served_is_taken_back_only_if_its_client_has_gone(gone: bool) -> None:
+    parts = Parts()  # without a backend
+    assert isinstance(parts.forward(gone=gone), RejectRequest)
+    assert parts.withdrawn == (["s"] if gone else [])
+
+
+def test_an_attempt_is_told_whether_its_client_has_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    told = []
+
+    async def send_attempt(*arguments: Any) -> Any:
+        told.append(arguments[5]())
+        return AttemptResult(NEVER_RAN, None, 0)
+
+    monkeypatch.setattr(forwarder_module, "send_attempt", send_attempt)
+    parts = Parts()
+    for gone in (True, False):
+        connection = cast(Any, SimpleNamespace(disconnected=gone))
+        client = ClientContext(now_ns() + SECOND, MemoryReservation(MemoryBudget(100)), connection)
+        asyncio.run(parts.forwarder.attempt(backend("me", ("h", 1)), REQUEST, client))
+    assert told == [True, False]
--- a/tests/gateway/test_peer_watch.py
+++ b/tests/gateway/test_peer_watch.py
@@ -13,6 +13,7 @@
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.errors import ConnectionBrokenError
 from meadowworks.runtime.http_connection import connect
+from meadowworks.runtime.peer_watch import PeerWatch
 from meadowworks.runtime.tcp_info import TcpInfo, read_tcp_info
 from tests.gateway.helpers import SECOND, until
 
@@ -105,26 +106,26 @@
     assert took_s < 5  # its probes come further and further apart
 
 
-def test_a_connection_whose_body_is_not_read_yet_is_not_kept() -> None:
+@pytest.mark.parametrize("body", [LARGE_BODY, b"x" * 200_000], ids=["in the process", "in the system"])
+def test_a_connection_whose_body_is_not_read_yet_is_not_kept(body: bytes) -> None:
     async def answers_early(sock: socket.socket) -> None:
         await asyncio.get_running_loop().sock_sendall(sock, OK)
         await asyncio.sleep(3)
 
-    usable, error, _ = asyncio.run(request_to(answers_early, LARGE_BODY))
+    usable, error, _ = asyncio.run(request_to(answers_early, body))
     assert error is None
     assert not usable
 
 
-def test_a_connection_whose_body_lies_in_the_systems_buffer_is_not_kept() -> None:
-    body = b"x" * 200_000  # the system takes it, and the peer's window does not
-
-    async def answers_early(sock: socket.socket) -> None:
-        await asyncio.get_running_loop().sock_sendall(sock, OK)
-        await asyncio.sleep(3)
+def test_the_user_time_out_is_off_while_a_peer_is_watched_and_no_longer() -> None:
+    async def main() -> list[int]:
+        with socket.socket() as sock:
+            watch = PeerWatch(sock, USER_TIMEOUT_MS, lambda: None)
+            during = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            watch.stop()
+            return [during, sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)]
 
-    usable, error, _ = asyncio.run(request_to(answers_early, body))
-    assert error is None
-    assert not usable
+    assert asyncio.run(main()) == [0, USER_TIMEOUT_MS]
 
 
 @pytest.mark.parametrize(
