--- a/meadowworks/runtime/http_connection.py
+++ b/meadowworks/runtime/http_connection.py
@@ -146,10 +146,7 @@
         if not complete:
             self.close()
             raise IncompleteResponseError("a response without its end")
-        if watch is not None and (sending_state is None or not sending_state.all_acknowledged):
-            # Guards against a request that waits behind the rest of a body, which its peer may never read.
-            self.close()
-        self._after_response()
+        self._after_response(watch is None or (sending_state is not None and sending_state.all_acknowledged))
         return Response(response.status, response.headers, content)
 
     def _watch_peer(self) -> PeerWatch | None:
@@ -159,10 +156,13 @@
         lost = TimeoutError("the peer acknowledges nothing any more")
         return PeerWatch(sock, self._user_timeout_ms, lambda: self._stream.give_up(lost))
 
-    def _after_response(self) -> None:
-        """Keep the connection only if it is as it was before the request."""
-        if self._stream.has_unsent_data():
-            # Guards likewise: the response came before its request had been read.
+    def _after_response(self, body_taken: bool) -> None:
+        """Keep the connection only if it is as it was before the request.
+
+        :param body_taken: the peer has acknowledged all of the request's body, as far as that was watched
+        """
+        if not body_taken or self._stream.has_unsent_data():
+            # Guards against a request that waits behind the rest of a body, which its peer may never read.
             self.close()
         if self._http11.has_surplus_data or self._stream.buffer:
             # Guards against bytes that belong to no request: the next caller would take them for its own.
--- a/meadowworks/runtime/peer_watch.py
+++ b/meadowworks/runtime/peer_watch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -57,4 +58,5 @@
         self._schedule()
 
     def _set_user_timeout(self, timeout_ms: int) -> None:
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        with contextlib.suppress(OSError):  # of a connection that has just ended: its reader is told
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/tests/gateway/test_http_connection.py
+++ b/tests/gateway/test_http_connection.py
@@ -7,9 +7,12 @@
 import socket
 import struct
 from collections.abc import Iterator
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
+from meadowworks.runtime.buffered_stream import BufferedStream
 from meadowworks.runtime.errors import (
     ConnectError,
     ConnectionBrokenError,
@@ -17,7 +20,7 @@
     RequestError,
     ResponseTooLargeError,
 )
-from meadowworks.runtime.http_connection import Response, connect
+from meadowworks.runtime.http_connection import ClientConnection, Response, connect
 
 MAX_BODY_BYTES = 8
 OK = b"HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 4\r\n\r\nbody"
@@ -167,3 +170,16 @@
     with pytest.raises(ConnectTimeoutError, match=r"within 0\.1 s") as raised:
         asyncio.run(connect(host, port, 0.1))
     assert not raised.value.may_have_run
+
+
+def test_a_connection_with_unsent_bytes_is_not_kept() -> None:
+    for unsent_bytes in (0, 1):
+        ends: list[int] = []
+        transport = SimpleNamespace(
+            get_write_buffer_size=lambda unsent_bytes=unsent_bytes: unsent_bytes,
+            abort=lambda ends=ends: ends.append(1),
+        )
+        stream = BufferedStream()
+        stream.connection_made(cast(Any, transport))
+        ClientConnection(stream, "h", 1)._after_response(body_taken=True)
+        assert len(ends) == unsent_bytes
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.http_server import HttpServer
 from meadowworks.runtime.request_body import read_body
 from meadowworks.runtime.response_writer import send_response
@@ -166,6 +167,28 @@
     assert asyncio.run(disconnect_during_first(OK * ahead))
 
 
+def test_the_time_of_a_request_begins_with_its_headers_also_behind_another() -> None:
+    waited_s: list[float] = []
+
+    async def main() -> None:
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            waited_s.append((now_ns() - scope["received_ns"]) / 1e9)
+            await read_body(receive, 500)
+            await asyncio.sleep(0.1)
+            await send_response(send, 200)
+
+        server = HttpServer(app, LIMITS)
+        reader, writer = await asyncio.open_connection("127.0.0.1", await server.listen("127.0.0.1", 0))
+        writer.write(OK + OK)
+        async with asyncio.timeout(5):
+            await reader.read(-1)
+        writer.close()
+        server.shutdown()
+
+    asyncio.run(main())
+    assert waited_s[0] < 0.1 <= waited_s[1]
+
+
 def test_what_comes_too_late_behind_a_request_does_not_cost_its_response() -> None:
     late = OK + b"GET /late HTTP/1.1\r\nHost:"
 
--- a/tests/gateway/test_logging.py
+++ b/tests/gateway/test_logging.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import re
 import subprocess
 import sys
 import time
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
+from meadowworks.consensus.effects import Committed
+from meadowworks.controlplane import config_resource
+from meadowworks.controlplane.api import ApiRequest
+from meadowworks.local.system import build_configuration
 from meadowworks.runtime.errors import SettingsError
-from meadowworks.runtime.logging import LogFormat, render_value
+from meadowworks.runtime.logging import LogFormat, _RateLimit, render_value
 from meadowworks.runtime.node_settings import parse_settings
 from meadowworks.runtime.process import log_format
 from tests.gateway.test_node_settings import SETTINGS
@@ -125,3 +131,29 @@
     assert len(events) > 25
     page = ON_CALL_PAGE.read_text("utf-8")
     assert not [event for event in sorted(events) if f"`{event}`" not in page]
+
+
+def test_the_limit_of_lines_goes_by_the_steady_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    limit, record = _RateLimit(), cast(Any, {"name": "module", "line": 7})  # no time of day is looked at
+    passed = []
+    for now_s in (5.0, 59.0, 61.0):
+        monkeypatch.setattr("time.monotonic", lambda now_s=now_s: now_s)
+        passed.append(sum(limit(record) for _ in range(15)))
+    assert passed == [15, 5, 15]
+
+
+def test_unknown_fields_of_a_configuration_are_logged(monkeypatch: pytest.MonkeyPatch) -> None:
+    logged: list[Any] = []
+    monkeypatch.setattr(
+        config_resource.log, "warning", lambda event, **fields: logged.append((event, fields))
+    )
+
+    async def propose(*_: Any) -> Committed:
+        return Committed()
+
+    service: Any = SimpleNamespace(replica=SimpleNamespace(holds_lease=lambda _: True), propose=propose)
+    document = json.loads(build_configuration(7, {"/a/": ("safe", "s")}))
+    document["vhosts"][0]["prefixes"][0]["sessions"] = "cookie"
+    request = ApiRequest("", json.dumps(document).encode())
+    assert asyncio.run(config_resource.ConfigResource(service).replace(request)).status == 200
+    assert logged == [("config_fields_unknown", {"version": "00000007", "fields": ["sessions"]})]
--- a/tests/gateway/test_pull_timing.py
+++ b/tests/gateway/test_pull_timing.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
 from meadowworks.consensus.timing import LEASE_DURATION_NS
-from meadowworks.controlplane.pull_client import MAX_WAIT_MS, REPLY_TIMEOUT_S, RETRY_S
+from meadowworks.controlplane import pull_client
+from meadowworks.controlplane.pull_client import MAX_WAIT_MS, REPLY_TIMEOUT_S, RETRY_S, PullClient
 from meadowworks.runtime.clock import NS_PER_SECOND
+from meadowworks.runtime.errors import RequestError
 
 ROUND_TRIP_S = 0.05
 
@@ -13,3 +21,36 @@
     # A pull that left at 0 is answered after its long poll, the next is lost, the third answered at once.
     answered_s = MAX_WAIT_MS / 1000 + REPLY_TIMEOUT_S + RETRY_S + ROUND_TRIP_S
     assert answered_s < LEASE_DURATION_NS / NS_PER_SECOND
+
+
+def test_the_pull_after_a_lost_one_asks_to_be_answered_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    outcomes = [True, False, False, True, True]  # whether each pull is answered
+    asked: list[bool] = []
+    node: Any = SimpleNamespace(
+        peer_clients=SimpleNamespace(client=lambda *_: None), holds_lease=lambda: True
+    )
+    client = PullClient(node)
+    reply = SimpleNamespace(sender=SimpleNamespace(incarnation="i"))
+
+    def make_pull(_source: str, _with_peers: bool, wants_reply_at_once: bool) -> Any:
+        asked.append(wants_reply_at_once)
+
+    async def send(*_: Any) -> Any:
+        if not outcomes.pop(0):
+            raise RequestError("lost", True)
+        return SimpleNamespace(reply=reply)
+
+    async def nothing(*_: Any) -> None:
+        pass
+
+    monkeypatch.setattr(pull_client, "RETRY_S", 0.0)
+    for name, stand_in in {
+        "_is_wanted": lambda _: bool(outcomes),
+        "_make_pull": make_pull,
+        "_send": send,
+        "_apply": lambda _: None,
+        "_wait_for_drain_writes": nothing,
+    }.items():
+        monkeypatch.setattr(client, name, cast(Any, stand_in))
+    asyncio.run(client.pull_from("h", 1))
+    assert asked == [False, False, True, True, False]
--- a/tests/gateway/test_request_handler.py
+++ b/tests/gateway/test_request_handler.py
@@ -155,19 +155,33 @@
     fleet.run(whole())
 
 
-async def respond_without_a_body(path: bytes, route_ms: float, client_ms: bytes | None) -> tuple[int, float]:
-    """The status of a request whose body never comes, and after how many seconds it is answered."""
-    route = Route("r", False, route_ms, 100.0, 0, 1, (WeightedService("s", 1.0),), "/order/")
+ROUTE = Route(
+    "r", False, 50.0, 100.0, 0, 1, (WeightedService("s", 1.0), WeightedService("t", 1.0)), "/order/"
+)
+
+
+def request_handler(route: Route = ROUTE) -> RequestHandler:
+    """A handler with one route, which has nothing to forward to."""
     view = SimpleNamespace(
         route_table=RouteTable(1, {"local.example": {route.prefix: route}}),
         route_table_listeners=[],
         staleness=SimpleNamespace(is_fresh=lambda _now: True),
     )
-    handler = RequestHandler(cast(Any, view), cast(Any, None), MemoryBudget(1000), ProxyCounters())
+    return RequestHandler(cast(Any, view), cast(Any, None), MemoryBudget(1000), ProxyCounters())
+
+
+async def respond_without_a_body(
+    path: bytes, route_ms: float, client_ms: bytes | None, waited_ms: int = 0
+) -> tuple[int, float]:
+    """The status of a request whose body never comes, and after how many seconds it is answered.
+
+    :param waited_ms: how long it has waited behind another since its headers were read
+    """
     headers = [(b"host", b"local.example"), (b"x-request-id", b"q")]
     if client_ms is not None:
         headers.append((b"x-deadline-ms", client_ms))
-    scope = {"method": "POST", "target": path, "headers": headers, "received_ns": now_ns()}
+    received_ns = now_ns() - waited_ms * 1_000_000
+    scope = {"method": "POST", "target": path, "headers": headers, "received_ns": received_ns}
     sent: list[Any] = []
 
     async def receive() -> Any:
@@ -178,17 +192,18 @@
 
     began = now_ns()
     async with asyncio.timeout(5):
-        await handler.handle(cast(Any, scope), receive, send)
+        await request_handler(ROUTE._replace(deadline_ms=route_ms)).handle(cast(Any, scope), receive, send)
     return sent[0]["status"], (now_ns() - began) / SECOND
 
 
 @pytest.mark.parametrize(
-    ("route_ms", "client_ms"), [(50.0, None), (50.0, b"9000"), (50.0, b"nan"), (9000.0, b"50")]
+    ("route_ms", "client_ms", "waited_ms"),
+    [(50.0, None, 0), (50.0, b"9000", 0), (50.0, b"nan", 0), (9000.0, b"50", 0), (9000.0, b"8000", 7950)],
 )
 def test_a_body_is_waited_for_until_the_earlier_of_two_deadlines(
-    route_ms: float, client_ms: bytes | None
+    route_ms: float, client_ms: bytes | None, waited_ms: int
 ) -> None:
-    status, took_s = asyncio.run(respond_without_a_body(b"/order/a", route_ms, client_ms))
+    status, took_s = asyncio.run(respond_without_a_body(b"/order/a", route_ms, client_ms, waited_ms))
     assert status == 408  # the request has not run, and never will
     assert 0.04 <= took_s < 0.55
 
@@ -197,3 +212,12 @@
     status, took_s = asyncio.run(respond_without_a_body(b"/none/a", 9000.0, b"9000"))
     assert status == 404
     assert took_s < 0.5
+
+
+def test_another_configuration_begins_its_splits_anew() -> None:
+    handler = request_handler()
+    first = handler._splits.next_point(ROUTE.name)
+    assert handler._splits.next_point(ROUTE.name) != first
+    (on_route_table,) = cast(Any, handler._view).route_table_listeners
+    on_route_table(None)
+    assert ROUTE.name not in handler._splits._points
--- a/tests/gateway/test_unusable_disk.py
+++ b/tests/gateway/test_unusable_disk.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
+import sqlite3
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
 
+from meadowworks.controlplane.server import ControlPlaneServer
 from meadowworks.local.system import SystemLayout, free_ports
+from meadowworks.runtime.errors import SettingsError
+from meadowworks.runtime.node_settings import parse_settings
 from meadowworks.storage.sqlite_store import FILE_NAME
 from tests.gateway.test_fleet import NETS
 
@@ -46,3 +51,18 @@
     assert found.returncode == 2, found.stderr
     (line,) = found.stderr.splitlines()
     assert line.startswith(f"meadowworks: the data directory {disk} cannot be used: ")
+
+
+def test_a_disk_that_refuses_the_first_write_is_told_alike(tmp_path: Path) -> None:
+    async def main() -> None:
+        layout = SystemLayout(next(NETS) % 250, free_ports())
+        server = ControlPlaneServer(parse_settings(json.dumps(layout.node_settings(0, tmp_path, True))))
+
+        async def start() -> None:
+            raise sqlite3.OperationalError("database or disk is full")
+
+        server.node.config_service.start = start  # type: ignore[method-assign]
+        with pytest.raises(SettingsError, match="cannot be used: database or disk is full"):
+            await server.serve(asyncio.get_running_loop().create_future())
+
+    asyncio.run(main())
