Stand-ins of the review: a process that was to be started again stays down at the end

Need: the platform's stand-in starts a killed process again after half a second, also when the case had just ended. Change: a closed deployment starts nothing.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -88,6 +88,8 @@
         return path
 
     def start(self) -> None:
+        if self.lab.closed:
+            return
         environ = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         environ |= {"MEADOWWORKS_NODE_FILE": str(self.write_settings()), "PYTHONPATH": str(ROOT / "target/deps")}
         log = (self.lab.folder / f"{self.name}.log").open("ab")
@@ -130,6 +132,7 @@
         self.edges = [Node(self, cores + i, "edge") for i in range(edges)]
         self.backends: list[Backend] = []
         self.platform: asyncio.Task[None] | None = None
+        self.closed = False
 
     @property
     def http_port(self) -> int:
@@ -194,6 +197,7 @@
         return False
 
     def close(self) -> None:
+        self.closed = True  # a process that was to be started again stays down
         if self.platform:
             self.platform.cancel()
         for node in (*self.cores, *self.edges):
