--- a/meadowworks/consensus/acceptor.py
+++ b/meadowworks/consensus/acceptor.py
@@ -8,15 +8,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from meadowworks.consensus.log_sender import reply_to_reader
 from meadowworks.consensus.messages import (
     AcceptedReply,
     AcceptRequest,
     BallotRejectedReply,
     InstalledReply,
+    InstallPositionRequest,
     InstallRequest,
     LearnRequest,
+    LogMissingReply,
     NotAMemberReply,
     PrepareRequest,
     PromiseReply,
@@ -24,7 +27,9 @@
     QueryRequest,
     Reply,
     Request,
+    SealedPositionReply,
     SealedReply,
+    SealPositionRequest,
     SealRequest,
     SnapshotReply,
     SnapshotRequest,
@@ -32,7 +37,14 @@
     VersionDecidedReply,
     VoteRequest,
 )
-from meadowworks.consensus.replicated_log import LogState, ReplicatedLog
+from meadowworks.consensus.replicated_log import (
+    EntryPosition,
+    FetchedLog,
+    LogSource,
+    LogState,
+    ReplicatedLog,
+)
+from meadowworks.consensus.transfer_messages import EntriesRequest, SnapshotChunkRequest
 from meadowworks.consensus.values import (
     HISTORY_LENGTH,
     MEMBERSHIP_VERSION,
@@ -61,7 +73,8 @@
     settings allow membership and the replica is not leaving. `installed`: the acceptor is a member of `epoch`
     and holds the state that it needs to vote in it. `sealed_by` is the epoch that ended `epoch` at this
     acceptor. `announced_epoch` is the newest epoch that another replica has announced; it is not stored.
-    `log` is the replicated log of this disk; None if the replica does not take part in one.
+    `log` is the replicated log of this disk; None if the replica does not take part in one. `fetched_log` is
+    the log of another replica that a request for a later epoch needs; it is not stored.
     `changed_slots`, `metadata_changed` and `committed_changed` mark what must be written before the next
     reply is sent.
     """
@@ -79,6 +92,7 @@
     slots: dict[int, AcceptorSlot] = field(default_factory=dict)
     announced_epoch: Epoch = NO_EPOCH
     log: ReplicatedLog | None = None
+    fetched_log: FetchedLog | None = None
     changed_slots: set[int] = field(default_factory=set)
     metadata_changed: bool = False  # any field apart from the slots, the committed value and the history
     committed_changed: bool = False  # the committed value and the history
@@ -121,9 +135,19 @@
 
         It contains the log if that belongs to the epoch of this acceptor.
         """
-        slots = tuple((v, s.promised, s.accepted, s.value) for v, s in sorted(self.slots.items()) if v)
         log = self.log.export() if self.log is not None and self.log.epoch == self.epoch.number else None
-        return AcceptorState(self.committed, self.digest_history(), slots, log)
+        return replace(self.export_registers(), log=log)
+
+    def export_registers(self) -> AcceptorState:
+        """Return the state that is transferred to the next epoch, without the log."""
+        slots = tuple((v, s.promised, s.accepted, s.value) for v, s in sorted(self.slots.items()) if v)
+        return AcceptorState(self.committed, self.digest_history(), slots)
+
+    def log_source(self) -> LogSource | None:
+        """Return where the log ends and can be read; None if it does not belong to the epoch."""
+        if self.log is None or self.log.epoch != self.epoch.number:
+            return None
+        return LogSource(self.log.last_position, self.address)
 
     def query_reply(self) -> QueryReply:
         """Return this acceptor's state as a reply to a query."""
@@ -156,8 +180,16 @@
                 return self.query_reply()
             case InstallRequest(_, next_epoch, state):
                 return self.install(next_epoch, state)
+            case InstallPositionRequest(_, next_epoch, state, source):
+                return self.install_at(next_epoch, state, source)
             case SealRequest(epoch, next_epoch):
-                return self.seal(epoch, next_epoch)
+                return self.seal(epoch, next_epoch) or SealedReply(next_epoch, self.export_state())
+            case SealPositionRequest(epoch, next_epoch):
+                return self.seal(epoch, next_epoch) or SealedPositionReply(
+                    next_epoch, self.export_registers(), self.log_source()
+                )
+            case SnapshotChunkRequest() | EntriesRequest() if self.log is not None:
+                return reply_to_reader(self.log, request)
             case PrepareRequest() | AcceptRequest():
                 return self.vote(request)
         return NotAMemberReply(self.epoch.number)  # `log_replica` handles the requests of the log
@@ -194,9 +226,10 @@
         """
         return version != MEMBERSHIP_VERSION and len(self.slots) >= MAX_UNDECIDED_VERSIONS
 
-    def seal(self, epoch: int, next_epoch: Epoch) -> Reply:
+    def seal(self, epoch: int, next_epoch: Epoch) -> Reply | None:
         """Stop voting in an epoch because `next_epoch` has been chosen.
 
+        :returns: the refusal, or None if the acceptor is sealed.
         :raises InvariantError: if this acceptor was sealed for a different next epoch.
         """
         if self.epoch.number >= next_epoch.number:
@@ -209,7 +242,7 @@
             raise InvariantError(
                 f"two memberships chosen after epoch {epoch}: {self.sealed_by}, {next_epoch}"
             )
-        return SealedReply(next_epoch, self.export_state())
+        return None
 
     def install(self, next_epoch: Epoch, state: AcceptorState) -> Reply:
         """Join `next_epoch` with the state transferred from the previous epoch.
@@ -221,13 +254,37 @@
             if self.epoch.number == next_epoch.number:
                 self._adopt_log(next_epoch, state.log)
             return InstalledReply(self.epoch.number)
-        if not next_epoch.has_member(self.member_id) or next_epoch.number < self.newest_epoch().number:
-            return NotAMemberReply(self.epoch.number)
-        if not self.installed and not self.is_eligible:
-            return NotAMemberReply(self.epoch.number)  # voting is disabled, or this replica is leaving
-        if self._would_lose_log_entries(state.log):
+        if not self._may_join(next_epoch) or self._would_lose_log_entries(state.log):
             return NotAMemberReply(self.epoch.number)
         self._adopt_log(next_epoch, state.log)
+        return self._join(next_epoch, state)
+
+    def install_at(self, next_epoch: Epoch, state: AcceptorState, source: LogSource | None) -> Reply:
+        """Join `next_epoch` once the own log, or a fetched one, reaches the position of the source.
+
+        Such a log contains everything that was committed in the previous epoch, because its last position is
+        at least that of the most up-to-date log of a sealed majority. So a member whose log is ahead of the
+        source keeps it.
+        """
+        if self.log is None or source is None:
+            return self.install(next_epoch, state)
+        has_joined = self.installed and self.epoch.number >= next_epoch.number
+        if has_joined and (self.epoch.number > next_epoch.number or self.log.epoch >= next_epoch.number):
+            return InstalledReply(self.epoch.number)
+        if not has_joined and not self._may_join(next_epoch):
+            return NotAMemberReply(self.epoch.number)
+        if not self._continue_log(next_epoch, source.position):
+            return LogMissingReply(self.epoch.number)
+        return InstalledReply(next_epoch.number) if has_joined else self._join(next_epoch, state)
+
+    def _may_join(self, next_epoch: Epoch) -> bool:
+        if not next_epoch.has_member(self.member_id) or next_epoch.number < self.newest_epoch().number:
+            return False
+        # Otherwise voting is disabled, or this replica is leaving.
+        return self.installed or self.is_eligible
+
+    def _join(self, next_epoch: Epoch, state: AcceptorState) -> InstalledReply:
+        """Become a member of an epoch whose log the acceptor has."""
         if next_epoch.number > self.epoch.number:  # otherwise it rejoins its own epoch and keeps its seal
             self.epoch, self.sealed_by = next_epoch, None
             if self.slots.pop(MEMBERSHIP_VERSION, None):
@@ -245,6 +302,20 @@
             return False
         return state is None or state.last_position.index < self.log.snapshot.index
 
+    def _continue_log(self, epoch: Epoch, required: EntryPosition) -> bool:
+        """Start an epoch with a log that reaches a position.
+
+        :returns: false if neither the own nor the fetched log does.
+        """
+        assert self.log is not None
+        fetched = self.fetched_log
+        if self.log.last_position >= required:
+            self.log.continue_in(epoch.number)
+            return True
+        if fetched is None or fetched.last_position < required:
+            return False
+        return self.log.accept(epoch.number, fetched)
+
     def _adopt_log(self, epoch: Epoch, state: LogState | None) -> None:
         """Start an epoch with the log of the previous one, unless the own log already belongs to it.
 
--- a/meadowworks/consensus/codec.py
+++ b/meadowworks/consensus/codec.py
@@ -19,14 +19,18 @@
     LogVoteReply,
     LogVoteRequest,
     SnapshotAppendRequest,
+    SnapshotOfferRequest,
+    SnapshotPendingReply,
 )
 from meadowworks.consensus.messages import (
     AcceptedReply,
     AcceptRequest,
     BallotRejectedReply,
     InstalledReply,
+    InstallPositionRequest,
     InstallRequest,
     LearnRequest,
+    LogMissingReply,
     NotAMemberReply,
     PrepareRequest,
     PromiseReply,
@@ -34,14 +38,22 @@
     QueryRequest,
     Reply,
     Request,
+    SealedPositionReply,
     SealedReply,
+    SealPositionRequest,
     SealRequest,
     SnapshotReply,
     SnapshotRequest,
     StaleEpochReply,
     VersionDecidedReply,
 )
-from meadowworks.consensus.replicated_log import Entry, EntryPosition, LogSnapshot, LogState
+from meadowworks.consensus.replicated_log import Entry, EntryPosition, LogSnapshot, LogSource, LogState
+from meadowworks.consensus.transfer_messages import (
+    EntriesReply,
+    EntriesRequest,
+    SnapshotChunkReply,
+    SnapshotChunkRequest,
+)
 from meadowworks.consensus.values import (
     NO_BALLOT,
     AcceptorState,
@@ -88,6 +100,8 @@
             return list(value)
         case EntryPosition(term, index):
             return [list(term), index]
+        case LogSource(position, address):
+            return [encode_field(position), address]
         case LogSnapshot(index, term, content):
             return [index, list(term), content]
         case Entry(term, payload):
@@ -173,6 +187,17 @@
     return EntryPosition(decode_term(term), int(index))
 
 
+def decode_optional_log_source(raw: Any) -> LogSource | None:
+    """Return where a log ends and where it can be fetched, or None if `raw` is None.
+
+    :raises ValueError, TypeError: if `raw` is neither of them.
+    """
+    if raw is None:
+        return None
+    position, address = raw
+    return LogSource(decode_position(position), str(address))
+
+
 def decode_entries(raw: Any) -> tuple[Entry, ...]:
     """Return entries from their terms and payloads.
 
@@ -232,6 +257,16 @@
     AppendReply: "LogAppended",
     LogVoteReply: "LogVoted",
     CampaignReply: "LogCampaigning",
+    SealPositionRequest: "SealAt",
+    SealedPositionReply: "SealedAt",
+    InstallPositionRequest: "InstallAt",
+    LogMissingReply: "LogMissing",
+    SnapshotOfferRequest: "LogOffer",
+    SnapshotPendingReply: "LogPending",
+    SnapshotChunkRequest: "ReadSnapshot",
+    SnapshotChunkReply: "SnapshotChunk",
+    EntriesRequest: "ReadEntries",
+    EntriesReply: "Entries",
 }
 MESSAGE_TYPES = {name: message_type for message_type, name in WIRE_NAMES.items()}
 FIELD_DECODERS: dict[type, tuple[Callable[[Any], Any], ...]] = {
@@ -259,6 +294,16 @@
     AppendReply: (decode_term, bool, int, int),
     LogVoteReply: (decode_term, decode_term, bool, bool),
     CampaignReply: (decode_term,),
+    SealPositionRequest: (int, decode_epoch),
+    SealedPositionReply: (decode_epoch, decode_state, decode_optional_log_source),
+    InstallPositionRequest: (int, decode_epoch, decode_state, decode_optional_log_source),
+    LogMissingReply: (int,),
+    SnapshotOfferRequest: (int, decode_term, str, decode_position, int),
+    SnapshotPendingReply: (decode_term, int),
+    SnapshotChunkRequest: (int, decode_position, int),
+    SnapshotChunkReply: (decode_position, int, bytes, int, bytes),
+    EntriesRequest: (int, decode_position),
+    EntriesReply: (decode_position, bool, decode_entries),
 }
 
 
--- a/meadowworks/consensus/follower_progress.py
+++ b/meadowworks/consensus/follower_progress.py
@@ -40,6 +40,10 @@
         self._on_reply(now_ns, round_number)
         self.next_index = max(self.match_index + 1, min(self.next_index - 1, last_index + 1))
 
+    def on_pending(self, now_ns: int, round_number: int) -> None:
+        """Record that the follower is fetching a snapshot."""
+        self._on_reply(now_ns, round_number)
+
     def on_failed(self) -> None:
         """Record that the request in flight will get no reply; `resend_at_ns` stays."""
         self.in_flight_since_ns = NOTHING_IN_FLIGHT
--- a/meadowworks/consensus/log_messages.py
+++ b/meadowworks/consensus/log_messages.py
@@ -41,9 +41,23 @@
     round_number: int
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotOfferRequest:
+    """Tells a follower that it needs a snapshot, which the follower then fetches in pieces (`log_fetcher`).
+
+    `base` is the first position from which the leader still has the entries.
+    """
+
+    epoch: int
+    term: Term
+    leader_id: str
+    base: EntryPosition
+    round_number: int
+
+
 @dataclass(frozen=True, slots=True)
 class AppendReply:
-    """The reply to both append requests.
+    """The reply to a request that sends entries or a snapshot.
 
     `accepted`: the follower's log equals the leader's up to `last_index`. Otherwise the leader must go back
     to `last_index` or further, or step down because `term` is later than its own.
@@ -55,6 +69,14 @@
     round_number: int
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotPendingReply:
+    """The reply to a `SnapshotOfferRequest` of a follower that is fetching the snapshot."""
+
+    term: Term
+    round_number: int
+
+
 @dataclass(frozen=True, slots=True)
 class LogVoteRequest:
     """Requests a vote for `term`; a pre-vote only asks whether the vote would be granted.
@@ -96,7 +118,14 @@
     term: Term
 
 
-LogRequest = AppendRequest | SnapshotAppendRequest | LogVoteRequest | CampaignRequest
-LogReply = AppendReply | LogVoteReply | CampaignReply
-LOG_REQUEST_TYPES = (AppendRequest, SnapshotAppendRequest, LogVoteRequest, CampaignRequest)
-LOG_REPLY_TYPES = (AppendReply, LogVoteReply, CampaignReply)
+LeaderRequest = AppendRequest | SnapshotAppendRequest | SnapshotOfferRequest
+LogRequest = LeaderRequest | LogVoteRequest | CampaignRequest
+LogReply = AppendReply | SnapshotPendingReply | LogVoteReply | CampaignReply
+LOG_REQUEST_TYPES = (
+    AppendRequest,
+    SnapshotAppendRequest,
+    SnapshotOfferRequest,
+    LogVoteRequest,
+    CampaignRequest,
+)
+LOG_REPLY_TYPES = (AppendReply, SnapshotPendingReply, LogVoteReply, CampaignReply)
--- a/meadowworks/consensus/log_replica.py
+++ b/meadowworks/consensus/log_replica.py
@@ -27,10 +27,13 @@
     AppendRequest,
     CampaignReply,
     CampaignRequest,
+    LeaderRequest,
     LogRequest,
     LogVoteReply,
     LogVoteRequest,
     SnapshotAppendRequest,
+    SnapshotOfferRequest,
+    SnapshotPendingReply,
 )
 from meadowworks.consensus.log_timing import (
     APPEND_TIMEOUT_NS,
@@ -42,7 +45,7 @@
     TRANSFER_TIMEOUT_NS,
 )
 from meadowworks.consensus.messages import NotAMemberReply, Reply, SealedReply, StaleEpochReply
-from meadowworks.consensus.replicated_log import Entry, EntryPosition, ReplicatedLog
+from meadowworks.consensus.replicated_log import Entry, EntryPosition, LogSnapshot, ReplicatedLog
 from meadowworks.consensus.values import NO_TERM, Term
 from meadowworks.runtime.errors import InvariantError
 
@@ -95,6 +98,9 @@
     def send_log_request(self, member_id: str, address: str, request: LogRequest) -> None:
         """Send a request; its reply or failure is passed to `LogReplica`."""
 
+    def reads_positions(self, member_id: str) -> bool:
+        """Return whether a member's release reads messages with positions in place of states."""
+
     def defer_until_durable(self, item: OwnVote | OwnAppend) -> None:
         """Pass an item to `LogReplica.on_durable` once all current changes are on disk."""
 
@@ -236,8 +242,8 @@
         match request:
             case LogVoteRequest():
                 return self._on_vote_request(now_ns, request)
-            case AppendRequest() | SnapshotAppendRequest():
-                return self._on_append_request(now_ns, request)
+            case AppendRequest() | SnapshotAppendRequest() | SnapshotOfferRequest():
+                return self._on_leader_request(now_ns, request)
             case CampaignRequest(_, term):
                 return self._on_campaign_request(now_ns, term)
 
@@ -251,6 +257,8 @@
                 self._on_vote_reply(now_ns, member_id, reply)
             case AppendReply():
                 self._on_append_reply(now_ns, member_id, reply)
+            case SnapshotPendingReply():
+                self._on_pending_reply(now_ns, member_id, reply)
             case CampaignReply():
                 pass
             case _:
@@ -261,6 +269,12 @@
         if (progress := self.followers.get(member_id)) is not None:
             progress.on_failed()
 
+    def on_snapshot_fetched(self, snapshot: LogSnapshot) -> None:
+        """Continue from a snapshot that was fetched from the leader; its entries are committed."""
+        if self.may_vote() and not self.is_leader and snapshot.index > self.commit_index:
+            self.log.restore(snapshot)
+            self._restore_state_machine()
+
     def on_durable(self, now_ns: int, item: OwnVote | OwnAppend) -> None:
         """Handle the own vote or the own entries reaching the disk."""
         if item.term != self.log.term or not self.may_vote():
@@ -457,13 +471,7 @@
         previous_index = progress.next_index - 1
         request: LogRequest
         if previous_index < self.log.base.index:
-            request = SnapshotAppendRequest(
-                self.log.epoch,
-                self.log.term,
-                self._acceptor.member_id,
-                self.log.snapshot,
-                self._round_number,
-            )
+            request = self._snapshot_request(member_id)
         else:
             request = AppendRequest(
                 self.log.epoch,
@@ -477,6 +485,25 @@
         progress.on_sent(now_ns, self.commit_index, now_ns + HEARTBEAT_INTERVAL_NS)
         self._host.send_log_request(member_id, address, request)
 
+    def _snapshot_request(self, member_id: str) -> SnapshotOfferRequest | SnapshotAppendRequest:
+        log, own_id = self.log, self._acceptor.member_id
+        if self._host.reads_positions(member_id):
+            return SnapshotOfferRequest(log.epoch, log.term, own_id, log.base, self._round_number)
+        return SnapshotAppendRequest(log.epoch, log.term, own_id, log.snapshot, self._round_number)
+
+    def _on_pending_reply(self, now_ns: int, member_id: str, reply: SnapshotPendingReply) -> None:
+        """Offer the snapshot again with the next heartbeat, or at once if a barrier waits."""
+        if reply.term > self.log.term:
+            self._enter_term(now_ns, reply.term)
+            return
+        progress = self.followers.get(member_id)
+        if not self.is_leader or progress is None or reply.term < self.log.term:
+            return
+        progress.on_pending(now_ns, reply.round_number)
+        self._complete_barriers()
+        if self._waits_for_round(progress):
+            self._send_to(now_ns, member_id, progress)
+
     def _on_append_reply(self, now_ns: int, member_id: str, reply: AppendReply) -> None:
         if reply.term > self.log.term:
             self._enter_term(now_ns, reply.term)
@@ -496,14 +523,19 @@
 
     def _send_if_needed(self, now_ns: int, member_id: str, progress: FollowerProgress) -> None:
         """Send entries or confirm a barrier at once; send a new commit index soon."""
-        waits_for_round = any(b.round_number > progress.confirmed_round for b in self.barriers)
-        if progress.next_index <= self.log.last_index or waits_for_round:
-            address = dict(self._other_members()).get(member_id)
-            if address is not None:
-                self._send(now_ns, member_id, address, progress)
+        if progress.next_index <= self.log.last_index or self._waits_for_round(progress):
+            self._send_to(now_ns, member_id, progress)
         elif progress.sent_commit_index < self.commit_index:
             progress.resend_at_ns = min(progress.resend_at_ns, now_ns + COMMIT_NOTIFICATION_DELAY_NS)
 
+    def _waits_for_round(self, progress: FollowerProgress) -> bool:
+        return any(barrier.round_number > progress.confirmed_round for barrier in self.barriers)
+
+    def _send_to(self, now_ns: int, member_id: str, progress: FollowerProgress) -> None:
+        address = dict(self._other_members()).get(member_id)
+        if address is not None:
+            self._send(now_ns, member_id, address, progress)
+
     def _advance_commit_index(self, now_ns: int) -> None:
         """Commit what a majority has on disk, if the last of it is of the leader's own term."""
         durable = sorted([self.own_durable_index, *(p.match_index for p in self.followers.values())])
@@ -530,7 +562,7 @@
 
     # -- the follower's log
 
-    def _on_append_request(self, now_ns: int, request: AppendRequest | SnapshotAppendRequest) -> AppendReply:
+    def _on_leader_request(self, now_ns: int, request: LeaderRequest) -> AppendReply | SnapshotPendingReply:
         if request.term < self.log.term:
             return AppendReply(self.log.term, False, self.log.last_index, request.round_number)
         if request.term > self.log.term:
@@ -541,9 +573,19 @@
             self._become_follower(request.leader_id)
         self._last_leader_contact_ns = now_ns
         self._reset_election_timer(now_ns)
-        if isinstance(request, SnapshotAppendRequest):
-            return self._restore(request)
-        return self._append_entries(request)
+        match request:
+            case AppendRequest():
+                return self._append_entries(request)
+            case SnapshotAppendRequest():
+                return self._restore(request)
+            case SnapshotOfferRequest():
+                return self._on_offer(request)
+
+    def _on_offer(self, request: SnapshotOfferRequest) -> AppendReply | SnapshotPendingReply:
+        """Confirm the own log if the leader has the entries after it; otherwise a snapshot is needed."""
+        if self.commit_index >= request.base.index:
+            return self._accepted(request, self.commit_index)
+        return SnapshotPendingReply(self.log.term, request.round_number)
 
     def _append_entries(self, request: AppendRequest) -> AppendReply:
         previous, entries = request.previous, request.entries
@@ -568,7 +610,7 @@
             self._apply_committed()
         return self._accepted(request, last_index)
 
-    def _accepted(self, request: AppendRequest | SnapshotAppendRequest, last_index: int) -> AppendReply:
+    def _accepted(self, request: LeaderRequest, last_index: int) -> AppendReply:
         return AppendReply(self.log.term, True, last_index, request.round_number)
 
     def _truncate_from(self, index: int) -> None:
--- a/meadowworks/consensus/messages.py
+++ b/meadowworks/consensus/messages.py
@@ -8,7 +8,9 @@
 
 from dataclasses import dataclass
 
-from meadowworks.consensus.log_messages import LogReply, LogRequest
+from meadowworks.consensus.log_messages import LogReply, LogRequest, SnapshotOfferRequest
+from meadowworks.consensus.replicated_log import LogSource
+from meadowworks.consensus.transfer_messages import TransferReply, TransferRequest
 from meadowworks.consensus.values import AcceptorState, Ballot, CommittedValue, DigestHistory, Epoch
 
 
@@ -48,6 +50,28 @@
     state: AcceptorState
 
 
+@dataclass(frozen=True, slots=True)
+class SealPositionRequest:
+    """Seals an epoch like a `SealRequest`; the reply has the position of the log instead of its content."""
+
+    epoch: int
+    next_epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class InstallPositionRequest:
+    """Makes an acceptor a member of `next_epoch` once its log reaches a position.
+
+    `state` is that of the previous epoch's members, without a log. `log_source` is None if none of them had a
+    log of their epoch.
+    """
+
+    epoch: int
+    next_epoch: Epoch
+    state: AcceptorState
+    log_source: LogSource | None
+
+
 @dataclass(frozen=True, slots=True)
 class QueryRequest:
     """Requests the committed and the highest undecided version, without their values."""
@@ -139,6 +163,22 @@
     state: AcceptorState | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class SealedPositionReply:
+    """The reply to a `SealPositionRequest`: the acceptor's state without its log, and where its log ends."""
+
+    next_epoch: Epoch
+    state: AcceptorState
+    log_source: LogSource | None
+
+
+@dataclass(frozen=True, slots=True)
+class LogMissingReply:
+    """States that the acceptor joins the epoch as soon as it has fetched the log."""
+
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class InstalledReply:
     """Confirms that the acceptor is a member of the epoch with this number."""
@@ -161,9 +201,20 @@
     history: DigestHistory
 
 
+# Requests that earlier releases cannot read.
+POSITION_REQUEST_TYPES = (SealPositionRequest, InstallPositionRequest, SnapshotOfferRequest)
 VoteRequest = PrepareRequest | AcceptRequest
-AcceptorRequest = VoteRequest | SealRequest | InstallRequest | QueryRequest | SnapshotRequest | LearnRequest
-Request = AcceptorRequest | LogRequest
+AcceptorRequest = (
+    VoteRequest
+    | SealRequest
+    | SealPositionRequest
+    | InstallRequest
+    | InstallPositionRequest
+    | QueryRequest
+    | SnapshotRequest
+    | LearnRequest
+)
+Request = AcceptorRequest | LogRequest | TransferRequest
 Reply = (
     PromiseReply
     | AcceptedReply
@@ -171,9 +222,12 @@
     | VersionDecidedReply
     | StaleEpochReply
     | SealedReply
+    | SealedPositionReply
+    | LogMissingReply
     | InstalledReply
     | NotAMemberReply
     | QueryReply
     | SnapshotReply
     | LogReply
+    | TransferReply
 )
--- a/meadowworks/consensus/operation_runner.py
+++ b/meadowworks/consensus/operation_runner.py
@@ -17,11 +17,20 @@
     ValueCommitted,
 )
 from meadowworks.consensus.lease import LeaseTracker
+from meadowworks.consensus.log_fetcher import LogFetcher
 from meadowworks.consensus.log_messages import LogRequest
 from meadowworks.consensus.log_replica import LogReplica, OwnAppend, OwnVote
 from meadowworks.consensus.membership import decode_member_list, encode_member_list
 from meadowworks.consensus.membership_monitor import MembershipMonitor
-from meadowworks.consensus.messages import Reply, Request, SnapshotReply, SnapshotRequest
+from meadowworks.consensus.messages import (
+    InstallPositionRequest,
+    LogMissingReply,
+    NotAMemberReply,
+    Reply,
+    Request,
+    SnapshotReply,
+    SnapshotRequest,
+)
 from meadowworks.consensus.operations import Operation, OperationKind
 from meadowworks.consensus.outcomes import (
     Chosen,
@@ -32,12 +41,16 @@
 )
 from meadowworks.consensus.quorum_read import QuorumRead
 from meadowworks.consensus.reconfiguration import Reconfiguration
+from meadowworks.consensus.replicated_log import FetchedLog
 from meadowworks.consensus.state_transfer import StateTransfer
 from meadowworks.consensus.timing import (
+    FETCH_POLL_INTERVAL_NS,
     MAX_BACKOFF_NS,
+    OLD_RELEASE_EXPIRY_NS,
     RECONFIGURATION_TIMEOUT_NS,
     RESEND_INTERVAL_NS,
 )
+from meadowworks.consensus.transfer_messages import TransferRequest
 from meadowworks.consensus.values import (
     MEMBERSHIP_VERSION,
     NO_BALLOT,
@@ -51,6 +64,7 @@
 from meadowworks.consensus.write_queue import OwnReply, WriteQueue
 
 LOG_OPERATION_ID = -1  # of requests that belong to the replicated log, not to an operation
+FETCH_OPERATION_ID = -2  # of requests of a log transfer; the round is its fetch number
 MAX_PENDING_REQUESTS = 4096  # above this the oldest are dropped, and their replies are ignored
 
 
@@ -67,6 +81,8 @@
         self.call_factory = QuorumCallFactory(acceptor, tolerated_failures)
         self.lease = LeaseTracker(acceptor)
         self.log_replica = LogReplica(self, acceptor.log) if acceptor.log is not None else None
+        self.log_fetcher = LogFetcher(self, acceptor.log) if acceptor.log is not None else None
+        self.old_release_until_ns: dict[str, int] = {}  # of members that read no positions, by member id
         self.membership_monitor = MembershipMonitor(acceptor, self.lease, tolerated_failures)
         self.operations: dict[int, Operation] = {}
         self.pending_requests: dict[int, tuple[int, int, str]] = {}  # operation id, round, member id
@@ -175,6 +191,9 @@
             self.lease.on_value_committed()
         if self.acceptor.epoch.number > epoch:
             self.on_epoch_joined(now_ns)
+        if isinstance(reply, LogMissingReply) and self.log_fetcher is not None:
+            assert isinstance(request, InstallPositionRequest)
+            self.log_fetcher.fetch_for_install(now_ns, request)
         return reply
 
     def _log_epoch(self) -> int:
@@ -191,6 +210,41 @@
         """Send a request of the log, whose reply is passed to `log_replica`."""
         self.send_request(LOG_OPERATION_ID, 0, member_id, address, request)
 
+    def reads_positions(self, member_id: str) -> bool:
+        """Return whether a member's release reads messages with positions in place of states."""
+        return member_id not in self.old_release_until_ns
+
+    def on_old_release(self, now_ns: int, member_id: str) -> None:
+        """Send whole states to a member for a while; later it may have been upgraded."""
+        self.old_release_until_ns[member_id] = now_ns + OLD_RELEASE_EXPIRY_NS
+
+    def expire_old_releases(self, now_ns: int) -> None:
+        """Send positions again to members that may have been upgraded."""
+        for member_id in [k for k, until_ns in self.old_release_until_ns.items() if now_ns >= until_ns]:
+            del self.old_release_until_ns[member_id]
+
+    # -- the log fetcher's access to this replica (`log_fetcher.FetchHost`)
+
+    def send_fetch_request(self, address: str, request: TransferRequest, fetch_number: int) -> None:
+        """Send a request of a log transfer, whose reply is passed to `log_fetcher`."""
+        self.send_request(FETCH_OPERATION_ID, fetch_number, "", address, request)
+
+    def on_log_fetched(
+        self, now_ns: int, fetched: FetchedLog, install: InstallPositionRequest | None
+    ) -> bool:
+        """Join an epoch with a fetched log, or continue from a fetched snapshot.
+
+        :returns: whether the transfer is over.
+        """
+        if install is None:
+            if self.log_replica is not None and fetched.snapshot is not None:
+                self.log_replica.on_snapshot_fetched(fetched.snapshot)
+            return True
+        self.acceptor.fetched_log = fetched
+        reply = self.handle_request(now_ns, install)
+        self.acceptor.fetched_log = None
+        return not isinstance(reply, NotAMemberReply)
+
     def defer_until_durable(self, item: OwnVote | OwnAppend) -> None:
         """Pass an item to `log_replica` once all current changes are on disk."""
         self.writes.defer(item)
@@ -206,6 +260,9 @@
             if operation.quorum_call is None:
                 self.begin_attempt(now_ns, operation_id, operation)
             return
+        if isinstance(reply, LogMissingReply):
+            operation.due_ns = min(operation.due_ns, now_ns + FETCH_POLL_INTERVAL_NS)
+            return
         call = operation.quorum_call
         if call is None or not call.on_reply(member_id, reply):
             return
--- a/meadowworks/consensus/replica.py
+++ b/meadowworks/consensus/replica.py
@@ -19,7 +19,7 @@
     SendReply,
     Undecided,
 )
-from meadowworks.consensus.log_messages import LOG_REPLY_TYPES, LOG_REQUEST_TYPES
+from meadowworks.consensus.log_messages import LOG_REPLY_TYPES, LOG_REQUEST_TYPES, SnapshotPendingReply
 from meadowworks.consensus.log_replica import OwnAppend, OwnVote
 from meadowworks.consensus.membership import encode_member_list
 from meadowworks.consensus.membership_monitor import (
@@ -31,6 +31,7 @@
     ProposeMembers,
 )
 from meadowworks.consensus.messages import (
+    InstallPositionRequest,
     InstallRequest,
     NotAMemberReply,
     QueryReply,
@@ -38,9 +39,14 @@
     Request,
     StaleEpochReply,
 )
-from meadowworks.consensus.operation_runner import LOG_OPERATION_ID, OperationRunner
+from meadowworks.consensus.operation_runner import (
+    FETCH_OPERATION_ID,
+    LOG_OPERATION_ID,
+    OperationRunner,
+)
 from meadowworks.consensus.operations import LEAVE_WAITER_ID, Operation, OperationKind
 from meadowworks.consensus.quorum_read import QuorumRead
+from meadowworks.consensus.reconfiguration import Reconfiguration
 from meadowworks.consensus.replicated_log import EntryPosition
 from meadowworks.consensus.timing import (
     FINISH_TIMEOUT_NS,
@@ -54,6 +60,7 @@
     RETRY_WITHOUT_LEASE_NS,
     STALL_THRESHOLD_NS,
 )
+from meadowworks.consensus.transfer_messages import TRANSFER_REPLY_TYPES
 from meadowworks.consensus.values import MEMBERSHIP_VERSION, CommittedValue, DigestHistory
 from meadowworks.consensus.write_queue import Deferred, IncarnationPersisted, OwnReply, PeerReply
 
@@ -103,7 +110,11 @@
             return self.handle_request(now_ns, request)
         if self.log_replica is None or not self.started:
             return NotAMemberReply(self.acceptor.epoch.number)
-        return self.log_replica.on_request(now_ns, request)
+        reply = self.log_replica.on_request(now_ns, request)
+        if isinstance(reply, SnapshotPendingReply) and self.log_fetcher is not None:
+            leader_address = self.log_replica.leader_address()
+            self.log_fetcher.fetch_snapshot(now_ns, request.epoch, leader_address)
+        return reply
 
     def on_reply(self, now_ns: int, request_id: int, member_id: str, reply: Reply) -> None:
         """Handle the reply to a request."""
@@ -112,6 +123,8 @@
         operation_id, round_number, target_id = pending
         if operation_id == LOG_OPERATION_ID:
             self._on_log_reply(now_ns, target_id, member_id, reply)
+        elif operation_id == FETCH_OPERATION_ID:
+            self._on_fetch_reply(now_ns, round_number, reply)
         elif not isinstance(reply, LOG_REPLY_TYPES):
             self._route_reply(now_ns, operation_id, round_number, member_id, reply)
         self.flush(now_ns)
@@ -126,11 +139,38 @@
         else:
             self.log_replica.on_request_failed(target_id)
 
+    def _on_fetch_reply(self, now_ns: int, fetch_number: int, reply: Reply) -> None:
+        if self.log_fetcher is None:
+            return
+        if isinstance(reply, TRANSFER_REPLY_TYPES):
+            self.log_fetcher.on_reply(now_ns, fetch_number, reply)
+        else:
+            self.log_fetcher.on_failed(fetch_number)
+
+    def on_request_unreadable(self, now_ns: int, request_id: int) -> None:
+        """Handle a request that a member of an earlier release cannot read: send whole states instead."""
+        if (pending := self.pending_requests.get(request_id)) is None:
+            return
+        operation_id, round_number, member_id = pending
+        self.on_old_release(now_ns, member_id)
+        self.on_request_failed(now_ns, request_id)
+        operation = self.operations.get(operation_id)
+        if operation is None or operation.round_number != round_number:
+            return
+        call = operation.quorum_call
+        if isinstance(call, Reconfiguration) and not call.sends_whole_states:
+            call.send_whole_states()
+            operation.round_number += 1
+            self.send_round(now_ns, operation_id, operation)
+        self.flush(now_ns)
+
     def on_request_failed(self, now_ns: int, request_id: int) -> None:  # noqa: ARG002  (every input takes the time)
         """Handle a request that will get no reply; a read ends when it can no longer reach a majority."""
         operation_id, round_number, member_id = self.pending_requests.pop(request_id, (0, 0, ""))
         if operation_id == LOG_OPERATION_ID and self.log_replica is not None:
             self.log_replica.on_request_failed(member_id)
+        if operation_id == FETCH_OPERATION_ID and self.log_fetcher is not None:
+            self.log_fetcher.on_failed(round_number)
         operation = self.operations.get(operation_id)
         if operation is None or operation.round_number != round_number:
             return
@@ -247,10 +287,18 @@
             self.last_check_ns = now_ns
             self.lease.query_self(now_ns)
             self.lease.expire_peers(now_ns)
+            self._check_transfers(now_ns)
             for decision in self.membership_monitor.decisions(now_ns, self.operations, self.leaving):
                 self._carry_out(now_ns, decision)
         self.flush(now_ns)
 
+    def _check_transfers(self, now_ns: int) -> None:
+        self.expire_old_releases(now_ns)
+        if self.log_fetcher is not None:
+            self.log_fetcher.tick(now_ns)
+        if self.acceptor.log is not None:
+            self.acceptor.log.check_retention()
+
     # -- outputs and queries
 
     def take_effects(self) -> list[Effect]:
@@ -408,5 +456,12 @@
             if peer.last_reply.may_vote and peer.last_reply.epoch == epoch.number:
                 continue
             if now_ns - peer.last_reply_ns < MEMBER_SILENCE_TIMEOUT_NS:
-                request = InstallRequest(epoch.number, epoch, self.acceptor.export_state())
+                request = self._install_request(member_id)
                 self.send_request(0, 0, member_id, address, request)  # the reply belongs to no operation
+
+    def _install_request(self, member_id: str) -> InstallPositionRequest | InstallRequest:
+        acceptor, epoch = self.acceptor, self.acceptor.epoch
+        if not self.reads_positions(member_id):
+            return InstallRequest(epoch.number, epoch, acceptor.export_state())
+        registers, source = acceptor.export_registers(), acceptor.log_source()
+        return InstallPositionRequest(epoch.number, epoch, registers, source)
--- a/meadowworks/consensus/replicated_log.py
+++ b/meadowworks/consensus/replicated_log.py
@@ -8,10 +8,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from meadowworks.consensus.values import NO_EPOCH_NUMBER, NO_TERM, Term
+from meadowworks.consensus.values import NO_EPOCH_NUMBER, NO_TERM, Term, digest
 
 # Entries that are kept in front of a snapshot, so that a slightly slower follower does not need the snapshot.
 ENTRIES_KEPT_BEFORE_SNAPSHOT = 1024
+# A snapshot that another replica reads is kept, with the entries after it, for this many checks without a
+# read, and as long as these entries have no more bytes than the snapshot and `MIN_RETAINED_ENTRY_BYTES`.
+RETENTION_CHECKS = 20
+MIN_RETAINED_ENTRY_BYTES = 4 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +64,43 @@
         return EntryPosition(self.snapshot.term, self.snapshot.index)
 
 
+@dataclass(frozen=True, slots=True)
+class LogSource:
+    """The position of the last entry of a member's log, and the address at which the log can be read."""
+
+    position: EntryPosition
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class FetchedLog:
+    """A log that was fetched from another replica.
+
+    `snapshot` is None if `entries` follow an entry of the own log, the one at `previous`. Otherwise they
+    follow the snapshot, and `previous` is its position.
+    """
+
+    previous: EntryPosition
+    snapshot: LogSnapshot | None
+    entries: tuple[Entry, ...]
+
+    @property
+    def last_position(self) -> EntryPosition:
+        """The position of the last entry."""
+        if not self.entries:
+            return self.previous
+        return EntryPosition(self.entries[-1].term, self.previous.index + len(self.entries))
+
+
+@dataclass(slots=True)
+class RetainedSnapshot:
+    """A snapshot that another replica reads; `idle_checks` counts the checks since the last read."""
+
+    snapshot: LogSnapshot
+    content_digest: bytes
+    idle_checks: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LogMetadata:
     """The stored fields of a log apart from entries and snapshot; see `ReplicatedLog`."""
@@ -93,6 +134,14 @@
     entries: tuple[Entry, ...]
 
 
+def best_log_source(sources: Iterable[LogSource | None]) -> LogSource | None:
+    """Return the source of the log that is the most up to date, or None if there is no log."""
+    present = [source for source in sources if source is not None]
+    if not present:
+        return None
+    return max(present, key=lambda source: source.position)
+
+
 def most_up_to_date(states: Iterable[LogState | None]) -> LogState | None:
     """Return the log with the highest last position, or None if there is no log.
 
@@ -122,6 +171,7 @@
     metadata_changed: bool = False
     snapshot_changed: bool = False
     first_changed_index: int | None = None  # entries from this index on differ from the disk
+    retained: RetainedSnapshot | None = None  # not stored
 
     @classmethod
     def from_stored(cls, stored: StoredLog) -> ReplicatedLog:
@@ -205,7 +255,7 @@
         """Replace the snapshot by one that contains the entries up to an index."""
         self.snapshot = LogSnapshot(index, self.term_at(index), content)
         self.snapshot_changed = self.metadata_changed = True
-        base_index = max(self.base.index, index - ENTRIES_KEPT_BEFORE_SNAPSHOT)
+        base_index = max(self.base.index, min(index - ENTRIES_KEPT_BEFORE_SNAPSHOT, self._retained_index()))
         base = EntryPosition(self.term_at(base_index), base_index)
         del self.entries[: base_index - self.base.index]
         self.base = base
@@ -219,6 +269,29 @@
         kept = self.entries[position.index - self.base.index :] if self.contains(position) else []
         self._replace(snapshot, kept)
 
+    def continue_in(self, epoch: int) -> None:
+        """Start an epoch with the own log."""
+        self.epoch = epoch
+        self.term, self.voted_for = max(Term(epoch, 0), self.last_position.term), ""
+        self.metadata_changed = True
+
+    def accept(self, epoch: int, fetched: FetchedLog) -> bool:
+        """Start an epoch with a log that was fetched from another replica.
+
+        :returns: whether that was possible; the own log may have changed since.
+        """
+        if fetched.snapshot is not None:
+            self.adopt(epoch, LogState(fetched.snapshot, fetched.entries))
+            return True
+        if fetched.previous.index < self.snapshot.index or not self.contains(fetched.previous):
+            return False
+        if fetched.previous.index < self.last_index:
+            self.truncate_from(fetched.previous.index + 1)
+        for entry in fetched.entries:
+            self.append(entry)
+        self.continue_in(epoch)
+        return True
+
     def adopt(self, epoch: int, state: LogState) -> None:
         """Replace the log by the one that the members of an epoch start with."""
         self.epoch = epoch
@@ -228,9 +301,43 @@
     def _replace(self, snapshot: LogSnapshot, entries: list[Entry]) -> None:
         self.snapshot, self.entries = snapshot, entries
         self.base = EntryPosition(snapshot.term, snapshot.index)
+        self.retained = None
         self.snapshot_changed = self.metadata_changed = True
         self.first_changed_index = 0
 
+    # -- snapshots that other replicas read
+
+    def retain_snapshot(self) -> RetainedSnapshot:
+        """Return the snapshot that replicas read at present, and keep it while it is read.
+
+        All of them read the same one, so that one snapshot at most is held beside the current one.
+        """
+        if self.retained is None:
+            self.retained = RetainedSnapshot(self.snapshot, digest(self.snapshot.content))
+        self.retained.idle_checks = 0
+        return self.retained
+
+    def check_retention(self) -> None:
+        """Drop the retained snapshot after some calls without a read."""
+        if self.retained is None:
+            return
+        self.retained.idle_checks += 1
+        if self.retained.idle_checks > RETENTION_CHECKS:
+            self.retained = None
+
+    def _retained_index(self) -> int:
+        """Return the index from which entries are kept for the reader of a snapshot."""
+        if self.retained is None:
+            return self.last_index
+        snapshot = self.retained.snapshot
+        size_bytes = sum(
+            len(entry.payload) for entry in self.entries_between(snapshot.index, self.last_index)
+        )
+        if size_bytes <= max(len(snapshot.content), MIN_RETAINED_ENTRY_BYTES):
+            return snapshot.index
+        self.retained = None
+        return self.last_index
+
     # -- persistence
 
     def has_unwritten_changes(self) -> bool:
--- a/meadowworks/consensus/timing.py
+++ b/meadowworks/consensus/timing.py
@@ -10,6 +10,10 @@
 LEASE_DURATION_NS = 1_800 * MILLISECOND_NS
 # A request is resent if no reply has arrived after this time.
 RESEND_INTERVAL_NS = 300 * MILLISECOND_NS
+# An install request is repeated after this time while a member fetches the log.
+FETCH_POLL_INTERVAL_NS = 60 * MILLISECOND_NS
+# How long a member that could not read a message is sent only those of earlier releases.
+OLD_RELEASE_EXPIRY_NS = 60 * SECOND_NS
 # Delays before a proposal that met a higher ballot is retried. The delay doubles with each retry and is
 # randomized, which prevents two proposers from preempting each other repeatedly.
 INITIAL_BACKOFF_NS = 20 * MILLISECOND_NS
--- a/meadowworks/controlplane/config_service.py
+++ b/meadowworks/controlplane/config_service.py
@@ -31,7 +31,7 @@
     Undecided,
     ValueCommitted,
 )
-from meadowworks.consensus.messages import Reply, Request
+from meadowworks.consensus.messages import POSITION_REQUEST_TYPES, Reply, Request
 from meadowworks.consensus.metadata import load_acceptor
 from meadowworks.consensus.operations import LEAVE_WAITER_ID
 from meadowworks.consensus.replica import Replica
@@ -44,12 +44,13 @@
 from meadowworks.runtime import logging as logs
 from meadowworks.runtime.background_tasks import BackgroundTasks
 from meadowworks.runtime.clock import NS_PER_SECOND, now_ns
-from meadowworks.runtime.errors import InvariantError, RequestError
+from meadowworks.runtime.errors import InvariantError, RequestError, UnexpectedStatusError
 from meadowworks.runtime.node_settings import NodeSettings
 from meadowworks.storage.sqlite_store import StoredState
 
 REQUEST_PATH = b"/letter"
 REQUEST_TIMEOUT_S = 1.0  # longer than the replica's resend interval
+HTTP_BAD_REQUEST = 400
 MIN_TICK_DELAY_S = 0.001  # lets the event loop run other tasks when a tick is overdue
 MEMBER_ID_LOG_LENGTH = 8
 Outcome = Committed | Conflict | Undecided | CommittedValue
@@ -73,6 +74,13 @@
         """Return the client for an address."""
 
 
+def is_from_old_release(request: Request, error: Exception) -> bool:
+    """Return whether a request failed because the other member's release cannot read it."""
+    if not isinstance(request, POSITION_REQUEST_TYPES) or not isinstance(error, UnexpectedStatusError):
+        return False
+    return error.status == HTTP_BAD_REQUEST
+
+
 def create_replica(settings: NodeSettings, stored: StoredState) -> Replica:
     """Return a node's replica, restored from its disk; an empty disk gets a new member id."""
     port = settings.peer_port  # the same on all nodes
@@ -274,7 +282,10 @@
             envelope = await self._call_member(effect)
         except (RequestError, *DECODE_ERRORS) as error:
             log.debug("consensus_request_failed", peer=effect.address, reason=str(error))
-            self.replica.on_request_failed(now_ns(), effect.request_id)
+            if is_from_old_release(effect.request, error):
+                self.replica.on_request_unreadable(now_ns(), effect.request_id)
+            else:
+                self.replica.on_request_failed(now_ns(), effect.request_id)
         else:
             self.replica.on_reply(now_ns(), effect.request_id, envelope.member_id, envelope.reply)
         self.run_effects()
--- a/meadowworks/controlplane/consensus_envelope.py
+++ b/meadowworks/controlplane/consensus_envelope.py
@@ -15,6 +15,8 @@
 
 INLINE_COMPRESSION_MAX_BYTES = 4096  # larger bodies are compressed in a thread
 COMPRESSION_LEVEL = 6
+LARGE_BODY_BYTES = 64 * 1024
+LARGE_BODY_COMPRESSION_LEVEL = 1  # large bodies, such as pieces of a log, would take much longer otherwise
 
 
 class RequestEnvelope(NamedTuple):
@@ -37,7 +39,8 @@
     body = messages.encode(codec.encode(message))
     if len(body) <= INLINE_COMPRESSION_MAX_BYTES:
         return zlib.compress(body, COMPRESSION_LEVEL)
-    return await asyncio.get_running_loop().run_in_executor(None, zlib.compress, body, COMPRESSION_LEVEL)
+    level = COMPRESSION_LEVEL if len(body) <= LARGE_BODY_BYTES else LARGE_BODY_COMPRESSION_LEVEL
+    return await asyncio.get_running_loop().run_in_executor(None, zlib.compress, body, level)
 
 
 def encode_request(request_id: int, compressed: bytes) -> bytes:
--- a/meadowworks/modelcheck/models/consensus/frozen.py
+++ b/meadowworks/modelcheck/models/consensus/frozen.py
@@ -12,12 +12,12 @@
 from meadowworks.consensus.acceptor import Acceptor
 from meadowworks.consensus.messages import (
     AcceptRequest,
-    InstallRequest,
+    InstallPositionRequest,
     PrepareRequest,
     PromiseReply,
     QueryReply,
     Request,
-    SealRequest,
+    SealPositionRequest,
 )
 from meadowworks.consensus.proposer import Proposer
 from meadowworks.consensus.quorum_read import QuorumRead
@@ -159,7 +159,7 @@
         case Reconfiguration():
             if call.installing:  # only the merged state has an effect from here on
                 merged = call.request()
-                assert isinstance(merged, InstallRequest)
+                assert isinstance(merged, InstallPositionRequest)
                 call.sealed_states = {"": merged.state}
             return (
                 "change",
@@ -216,6 +216,7 @@
             reconfiguration = Reconfiguration(thaw_epoch(*epoch), thaw_epoch(*next_epoch))
             reconfiguration.installing, reconfiguration.installed_members = installing, set(installed)
             reconfiguration.sealed_states = {member_id: thaw_state(state) for member_id, state in states}
+            reconfiguration.log_sources = dict.fromkeys(reconfiguration.sealed_states)  # there is no log
             return reconfiguration
         case "reader", epoch, replies, _:
             quorum_read = QuorumRead(thaw_epoch(*epoch))
@@ -238,9 +239,9 @@
             return "prepare", epoch, version, tuple(ballot)
         case AcceptRequest(epoch, version, ballot, value):
             return "accept", epoch, version, tuple(ballot), value
-        case SealRequest(epoch, next_epoch):
+        case SealPositionRequest(epoch, next_epoch):
             return "seal", epoch, (next_epoch.number, next_epoch.members)
-        case InstallRequest(epoch, next_epoch, state):
+        case InstallPositionRequest(epoch, next_epoch, state):
             return "install", epoch, (next_epoch.number, next_epoch.members), freeze_state(state)
     raise ValueError(f"cannot freeze {request!r}: only prepare, accept, seal and install requests are frozen")
 
@@ -256,7 +257,7 @@
         case "accept", epoch, version, ballot, value:
             return AcceptRequest(epoch, version, Ballot(*ballot), value)
         case "install", epoch, next_epoch, state:
-            return InstallRequest(epoch, thaw_epoch(*next_epoch), thaw_state(state))
+            return InstallPositionRequest(epoch, thaw_epoch(*next_epoch), thaw_state(state), None)
         case "seal", epoch, next_epoch:
-            return SealRequest(epoch, thaw_epoch(*next_epoch))
+            return SealPositionRequest(epoch, thaw_epoch(*next_epoch))
     raise ValueError(f"not a frozen request: {frozen!r}")
--- a/meadowworks/modelcheck/models/consensus/machines.py
+++ b/meadowworks/modelcheck/models/consensus/machines.py
@@ -6,7 +6,7 @@
 
 from meadowworks.consensus.acceptor import Acceptor
 from meadowworks.consensus.messages import (
-    InstallRequest,
+    InstallPositionRequest,
     LearnRequest,
 )
 from meadowworks.consensus.metadata import load_acceptor
@@ -128,7 +128,7 @@
         """Let one acceptor install another in its epoch."""
         sender = self.acceptor_at(from_machine)
         self.acceptor_at(to_machine).handle(
-            InstallRequest(sender.epoch.number, sender.epoch, sender.export_state())
+            InstallPositionRequest(sender.epoch.number, sender.epoch, sender.export_registers(), None)
         )
 
     def announce_epoch(self, to_machine: int, from_machine: int) -> None:
--- a/meadowworks/modelcheck/models/replica/world.py
+++ b/meadowworks/modelcheck/models/replica/world.py
@@ -22,6 +22,7 @@
     InstalledReply,
     PromiseReply,
     QueryReply,
+    SealedPositionReply,
     SealedReply,
 )
 from meadowworks.consensus.operations import Operation, OperationKind
@@ -227,7 +228,7 @@
                     or durable.committed.version >= version > 0
                     for version, slot in [*durable.slots.items(), (durable.committed.version, AcceptorSlot())]
                 )
-            case SealedReply(next_epoch):
+            case SealedReply(next_epoch) | SealedPositionReply(next_epoch):
                 return durable.epoch.number >= next_epoch.number or durable.sealed_by == next_epoch
             case InstalledReply(number):
                 return durable.epoch.number >= number and durable.installed
--- a/meadowworks/modelcheck/models/replicated_log/frozen.py
+++ b/meadowworks/modelcheck/models/replicated_log/frozen.py
@@ -5,6 +5,7 @@
 import marshal
 import pickle
 from dataclasses import dataclass
+from typing import Any
 
 from meadowworks.consensus.acceptor import Acceptor
 from meadowworks.consensus.log_replica import Role
@@ -53,6 +54,7 @@
     is_writing: bool
     incarnation: int
     pending_reconfigurations: frozenset[int]
+    is_fetching: bool
     memory: LogView
     disk: LogView
     applied: Records
@@ -96,10 +98,21 @@
             [(write_id - writes.last_write_id, to_plain(item)) for write_id, item in writes.awaiting_write]
         ),
         to_plain(node.applied),
+        plain_fetch(node),
     )
     return marshal.dumps(state, MARSHAL_VERSION)
 
 
+def plain_fetch(node: Node) -> tuple[Any, ...] | None:
+    """Return the log transfer of a node as a plain value, without the numbers and times of its requests."""
+    fetch, message = node.log_fetcher.fetch, node.fetch_in_flight
+    if fetch is None:
+        return None
+    download = {name: value for name, value in vars(fetch.download).items() if name != "_own_log"}
+    request = None if message is None else (message.address, to_plain(message.request))
+    return to_plain(download), fetch.address, to_plain(fetch.install), fetch.failures, request
+
+
 def view_of(node: Node) -> NodeView:
     """Return the view of a node."""
     return NodeView(
@@ -114,6 +127,7 @@
             for _, item in node.writes.awaiting_write
             if isinstance(item, PeerReply) and isinstance(item.ticket, ReconfigurationTicket)
         ),
+        node.fetch_in_flight is not None,
         log_view(node.acceptor),
         disk_view(node.disk),
         node.applied,
--- a/meadowworks/modelcheck/models/replicated_log/node.py
+++ b/meadowworks/modelcheck/models/replicated_log/node.py
@@ -12,25 +12,33 @@
     Effect,
     RestoreSnapshot,
 )
+from meadowworks.consensus.log_fetcher import LogFetcher
 from meadowworks.consensus.log_messages import (
     AppendReply,
     CampaignRequest,
     LogRequest,
     LogVoteReply,
     LogVoteRequest,
+    SnapshotPendingReply,
 )
 from meadowworks.consensus.log_replica import LogReplica, OwnAppend, OwnVote
 from meadowworks.consensus.log_timing import HEARTBEAT_INTERVAL_NS, MIN_ELECTION_TIMEOUT_NS
 from meadowworks.consensus.messages import (
     InstalledReply,
+    InstallPositionRequest,
     InstallRequest,
+    LogMissingReply,
+    NotAMemberReply,
     Reply,
+    SealedPositionReply,
     SealedReply,
+    SealPositionRequest,
     SealRequest,
     StaleEpochReply,
 )
-from meadowworks.consensus.replicated_log import NO_POSITION, EntryPosition, ReplicatedLog
+from meadowworks.consensus.replicated_log import NO_POSITION, EntryPosition, FetchedLog, ReplicatedLog
 from meadowworks.consensus.timing import SECOND_NS
+from meadowworks.consensus.transfer_messages import TRANSFER_REPLY_TYPES, TransferRequest
 from meadowworks.consensus.values import Term
 from meadowworks.consensus.write_queue import PeerReply, WriteQueue
 from meadowworks.modelcheck.models.replica.disk import Disk
@@ -65,6 +73,16 @@
 
 
 Ticket = LogTicket | ReconfigurationTicket
+ReconfigurationRequest = SealRequest | SealPositionRequest | InstallRequest | InstallPositionRequest
+
+
+@dataclass(frozen=True, slots=True)
+class FetchInFlight:
+    """A request of a log transfer to the node at an address."""
+
+    address: str
+    request: TransferRequest
+    fetch_number: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,10 +96,14 @@
 
 
 class Node:
-    """Implements `log_replica.LogHost`; the world takes what it has sent and applied after each step."""
+    """Implements `log_replica.LogHost` and `log_fetcher.FetchHost`.
+
+    The world takes what the node has sent and applied after each step.
+    """
 
-    def __init__(self, index: int, disk: Disk, incarnation: int) -> None:
+    def __init__(self, index: int, disk: Disk, incarnation: int, sends_whole_states: bool) -> None:
         self.index, self.disk, self.incarnation = index, disk, incarnation
+        self.sends_whole_states = sends_whole_states
         self.acceptor: Acceptor = disk.acceptor(str(index))
         log = self.acceptor.log
         assert log is not None
@@ -94,6 +116,8 @@
         self.passed_barriers: list[int] = []
         self.pre_vote: LogVoteRequest | None = None
         self.log_replica = LogReplica(self, log)
+        self.log_fetcher = LogFetcher(self, log)
+        self.fetch_in_flight: FetchInFlight | None = None
         self.log_replica.start(NOW_NS)
 
     # -- `LogHost`
@@ -118,6 +142,10 @@
             return
         self.requests.append(RequestInFlight(self.index, self.incarnation, int(address), member_id, request))
 
+    def reads_positions(self, member_id: str) -> bool:  # noqa: ARG002  (all nodes have one release)
+        """Return whether messages with positions may be sent."""
+        return not self.sends_whole_states
+
     def defer_until_durable(self, item: OwnVote | OwnAppend) -> None:
         """Hold an item until all changes are on disk."""
         self.writes.defer(item)
@@ -129,6 +157,28 @@
     def log(self, event: str, **fields: str | int) -> None:
         """Ignore log lines."""
 
+    # -- `FetchHost`
+
+    def send_fetch_request(self, address: str, request: TransferRequest, fetch_number: int) -> None:
+        """Send a request of a log transfer."""
+        self.fetch_in_flight = FetchInFlight(address, request, fetch_number)
+
+    def on_log_fetched(
+        self,
+        now_ns: int,  # noqa: ARG002  (time stands still)
+        fetched: FetchedLog,
+        install: InstallPositionRequest | None,
+    ) -> bool:
+        """Join an epoch with a fetched log, or continue from a fetched snapshot."""
+        if install is None:
+            assert fetched.snapshot is not None
+            self.log_replica.on_snapshot_fetched(fetched.snapshot)
+            return True
+        self.acceptor.fetched_log = fetched
+        reply = self._handle(install)
+        self.acceptor.fetched_log = None
+        return not isinstance(reply, NotAMemberReply)
+
     # -- inputs
 
     def time_out(self) -> None:
@@ -145,18 +195,43 @@
     def receive_request(self, message: RequestInFlight) -> None:
         """Handle a request of the log."""
         reply = self.log_replica.on_request(NOW_NS, message.request)
+        if isinstance(reply, SnapshotPendingReply):
+            leader_address = self.log_replica.leader_address()
+            self.log_fetcher.fetch_snapshot(NOW_NS, message.request.epoch, leader_address)
+            self._repeat_fetch()
         position = NO_POSITION
         if isinstance(reply, AppendReply) and reply.accepted:
             position = EntryPosition(self.log_state.term_at(reply.last_index), reply.last_index)
         self.writes.defer(PeerReply(LogTicket(message, position), self.acceptor.member_id, reply))
 
-    def receive_reconfiguration(self, number: int, request: SealRequest | InstallRequest) -> None:
+    def receive_reconfiguration(self, number: int, request: ReconfigurationRequest) -> None:
         """Handle a request of a reconfiguration."""
+        reply = self._handle(request)
+        if isinstance(reply, LogMissingReply):
+            assert isinstance(request, InstallPositionRequest)
+            self.log_fetcher.fetch_for_install(NOW_NS, request)
+            self._repeat_fetch()
+        self.writes.defer(PeerReply(ReconfigurationTicket(number), self.acceptor.member_id, reply))
+
+    def _handle(self, request: ReconfigurationRequest) -> Reply:
         epoch = self.log_state.epoch
         reply = self.acceptor.handle(request)
         if self.log_state.epoch > epoch:
             self.log_replica.on_epoch_joined(NOW_NS)
-        self.writes.defer(PeerReply(ReconfigurationTicket(number), self.acceptor.member_id, reply))
+        return reply
+
+    def _repeat_fetch(self) -> None:
+        if self.fetch_in_flight is None:
+            self.log_fetcher.tick(NOW_NS)
+
+    def receive_fetch_reply(self, reply: Reply) -> None:
+        """Handle the reply to the request of the log transfer."""
+        fetch, self.fetch_in_flight = self.fetch_in_flight, None
+        assert fetch is not None
+        if isinstance(reply, TRANSFER_REPLY_TYPES):
+            self.log_fetcher.on_reply(NOW_NS, fetch.fetch_number, reply)
+        else:
+            self.log_fetcher.on_failed(fetch.fetch_number)
 
     def receive_reply(self, message: ReplyInFlight) -> None:
         """Handle the reply to a request of the log."""
@@ -222,7 +297,7 @@
                 )
             case AppendReply(term) | LogVoteReply(term):
                 return log.term >= term
-            case SealedReply(next_epoch):
+            case SealedReply(next_epoch) | SealedPositionReply(next_epoch):
                 return acceptor.epoch.number >= next_epoch.number or acceptor.sealed_by == next_epoch
             case InstalledReply(number):
                 return acceptor.epoch.number >= number and log.epoch >= number
--- a/meadowworks/modelcheck/models/replicated_log/scenarios.py
+++ b/meadowworks/modelcheck/models/replicated_log/scenarios.py
@@ -30,7 +30,8 @@
 
     Nodes are given by index. `timeouts`, `power_losses` and `wiped` name a node once for each time that an
     election starts there, that it loses power, or that its disk is replaced by an empty one. `disconnected`
-    holds the pairs of nodes that exchange no messages of the log.
+    holds the pairs of nodes that exchange no messages of the log. `sends_whole_states`: reconfigurations
+    use the messages of earlier releases.
     """
 
     name: str
@@ -47,6 +48,7 @@
     copies: int = 0
     reconfigurations: int = 0
     disconnected: tuple[tuple[int, int], ...] = ()
+    sends_whole_states: bool = False
 
 
 A, AB, ABC = members_of("a"), members_of("a", "b"), members_of("a", "b", "c")
@@ -63,7 +65,17 @@
 C_IS_ELECTED = (Preparation("timeout", 2), Preparation(SETTLE, connected=(1, 2), deliveries=2))
 # a and c are leaders of two terms, each with an entry that no other node has.
 A_AND_C_LEAD = (*A_LEADS, *A_PROPOSES_ALONE, *C_IS_ELECTED)
-# Then a has received the later term.
+# Then c has committed an entry with b, in another term than the entry that a has alone.
+C_COMMITS_WHILE_A_LEADS = (
+    *A_AND_C_LEAD,
+    Preparation("propose", 2),
+    Preparation(SETTLE, connected=(1, 2)),
+    Preparation("heartbeat", 2),
+    Preparation(SETTLE, connected=(1, 2)),
+)
+# The same, and the entries that a has alone are as many.
+C_COMMITS_AS_MANY_ENTRIES = (*A_LEADS, *A_PROPOSES_ALONE, *C_COMMITS_WHILE_A_LEADS[len(A_LEADS) :])
+# After `A_AND_C_LEAD` a has received the later term.
 A_WAS_LEADER = (
     *A_AND_C_LEAD,
     Preparation("heartbeat", 0),
@@ -204,6 +216,109 @@
         reconfigurations=1,
         disconnected=(A_AND_C,),
     ),
+    LogScenario(
+        "a replaced disk joins the next epoch with a whole state",
+        ABC,
+        A_PROPOSES,
+        next_members=ABC_WITH_C_REPLACED,
+        wiped=(2,),
+        reconfigurations=1,
+        disconnected=(A_AND_B,),
+        sends_whole_states=True,
+    ),
+    LogScenario(
+        "the epoch of a single node ends twice with a whole state",
+        A,
+        next_members=A,
+        timeouts=(0,),
+        power_losses=(0,),
+        reconfigurations=2,
+        sends_whole_states=True,
+    ),
+    LogScenario(
+        "two leaders of one epoch join the next with whole states",
+        ABC,
+        A_AND_C_LEAD,
+        next_members=ABC,
+        heartbeats=1,
+        reconfigurations=1,
+        disconnected=(A_AND_C,),
+        sends_whole_states=True,
+    ),
+    LogScenario(
+        "an epoch begins with two of three members and whole states",
+        ABC,
+        next_members=ABC,
+        timeouts=(0,),
+        reconfigurations=1,
+        disconnected=(A_AND_C,),
+        sends_whole_states=True,
+    ),
+    LogScenario(
+        "a whole snapshot arrives twice",
+        ABC,
+        A_HAS_A_SNAPSHOT,
+        proposals=1,
+        heartbeats=2,
+        copies=1,
+        disconnected=(A_AND_B,),
+        sends_whole_states=True,
+    ),
+    LogScenario(
+        "a candidate is sealed with a whole state",
+        ABC,
+        A_WAS_LEADER,
+        next_members=ABC,
+        timeouts=(0,),
+        reconfigurations=1,
+        disconnected=(A_AND_C,),
+        sends_whole_states=True,
+    ),
+    LogScenario(
+        "two leaders of one epoch, a disk is replaced",
+        ABC,
+        C_COMMITS_WHILE_A_LEADS,
+        next_members=ABC_WITH_C_REPLACED,
+        wiped=(2,),
+        reconfigurations=1,
+        disconnected=(A_AND_B, A_AND_C),
+    ),
+    LogScenario(
+        "two leaders of one epoch with logs of one length, a disk is replaced",
+        ABC,
+        C_COMMITS_AS_MANY_ENTRIES,
+        next_members=ABC_WITH_C_REPLACED,
+        wiped=(2,),
+        reconfigurations=1,
+        disconnected=(A_AND_B, A_AND_C),
+    ),
+    LogScenario(
+        "another leader appends while a follower reads a snapshot",
+        ABC,
+        A_HAS_A_SNAPSHOT,
+        timeouts=(1,),
+        heartbeats=2,
+        disconnected=(A_AND_B,),
+    ),
+    LogScenario(
+        "a replaced disk joins the next epoch with a snapshot",
+        ABC,
+        (*A_HAS_A_SNAPSHOT, Preparation("propose", 0)),
+        next_members=ABC_WITH_C_REPLACED,
+        wiped=(2,),
+        compactions=1,
+        reconfigurations=1,
+        disconnected=(A_AND_B,),
+    ),
+    LogScenario(
+        "entries are compacted while a follower reads a snapshot",
+        ABC,
+        A_HAS_A_SNAPSHOT,
+        proposals=2,
+        compactions=2,
+        heartbeats=1,
+        disconnected=(A_AND_B,),
+    ),
 )
 
 # `check --large` adds these.
--- a/meadowworks/modelcheck/models/replicated_log/world.py
+++ b/meadowworks/modelcheck/models/replicated_log/world.py
@@ -123,7 +123,7 @@
         self.outcomes: list[tuple[Any, ...]] = []
         epoch = Epoch(FIRST_EPOCH, scenario.members)
         nodes = tuple(
-            freeze_node(started_node(index, new_disk(member_id, epoch)))
+            freeze_node(started_node(index, new_disk(member_id, epoch), 0, scenario.sends_whole_states))
             for index, (member_id, _) in enumerate(scenario.members)
         )
         self.state = LogState(nodes, (), (), preparation_budget(scenario))
@@ -133,7 +133,10 @@
         connected = [m for m in self.state.messages if not self._is_disconnected(m.source, m.destination)]
         self.state = replace(self.state, messages=tuple(connected))
         next_epoch = Epoch(FIRST_EPOCH + 1, scenario.next_members)
-        reconfiguration = freeze_reconfiguration(Reconfiguration(epoch, next_epoch))
+        call = Reconfiguration(epoch, next_epoch)
+        if scenario.sends_whole_states:
+            call.send_whole_states()
+        reconfiguration = freeze_reconfiguration(call)
         self.state = replace(
             self.state,
             budget=budget_of(scenario),
@@ -172,6 +175,7 @@
             steps += [("copy", label(message)) for message in requests]
         for k in range(len(state.nodes)):
             steps += self._steps_at(k)
+        steps += [("fetch", k) for k, node in enumerate(state.nodes) if node.view.is_fetching]
         for number, reconfiguration in enumerate(state.reconfigurations):
             for member_id, address in reconfiguration.targets:
                 view = state.nodes[int(address)].view
@@ -284,7 +288,7 @@
                 if isinstance(message, RequestInFlight) or message.destination != k
             ),
         )
-        self._finish(started_node(k, disk, incarnation))
+        self._finish(started_node(k, disk, incarnation, self.scenario.sends_whole_states))
 
     def propose(self, k: int) -> None:
         """Propose an entry at a leader."""
@@ -317,6 +321,16 @@
         node.receive_reconfiguration(number, request)
         self._finish(node)
 
+    def fetch(self, k: int) -> None:
+        """Deliver the request of a node's log transfer, and the reply to it."""
+        node = self.state.nodes[k].thaw()
+        assert node.fetch_in_flight is not None
+        sender = self.state.nodes[int(node.fetch_in_flight.address)].thaw()
+        reply = sender.acceptor.handle(node.fetch_in_flight.request)
+        self._finish(sender)
+        node.receive_fetch_reply(reply)
+        self._finish(node)
+
     # -- results of a step
 
     def _finish(self, node: Node) -> None:
@@ -444,6 +458,7 @@
     "barrier": "begin_barrier",
     "compact": "compact",
     "reconfigure": "reconfigure",
+    "fetch": "fetch",
 }
 
 
@@ -467,9 +482,9 @@
     return disk
 
 
-def started_node(index: int, disk: Disk, incarnation: int = 0) -> Node:
+def started_node(index: int, disk: Disk, incarnation: int = 0, sends_whole_states: bool = False) -> Node:
     """Return a node that has started from its disk."""
-    node = Node(index, disk, incarnation)
+    node = Node(index, disk, incarnation, sends_whole_states)
     node.flush()
     return node
 
--- a/meadowworks/modelcheck/seeded_faults/consensus.py
+++ b/meadowworks/modelcheck/seeded_faults/consensus.py
@@ -146,7 +146,7 @@
             ),
             (
                 "an empty disk is installed under another's name",
-                ACCEPTOR + "install",
+                ACCEPTOR + "_may_join",
                 "if not next_epoch.has_member(self.member_id) or",
                 "if",
                 ("members vote",),
@@ -154,7 +154,7 @@
             ),
             (
                 "an acceptor goes back to an older epoch",
-                ACCEPTOR + "install",
+                ACCEPTOR + "_may_join",
                 "or next_epoch.number < self.newest_epoch().number:",
                 "or False:",
                 ("never back", "newer deaf to older"),
@@ -162,15 +162,15 @@
             ),
             (
                 "who is told not to vote is installed",
-                ACCEPTOR + "install",
-                "if not self.installed and not self.is_eligible:",
-                "if False:",
+                ACCEPTOR + "_may_join",
+                "return self.installed or self.is_eligible",
+                "return True",
                 ("members vote",),
                 (29,),
             ),
             (
                 "installed again where it was, a disk loses its seal",
-                ACCEPTOR + "install",
+                ACCEPTOR + "_join",
                 "if next_epoch.number > self.epoch.number:  # otherwise",
                 "if True:  # otherwise",
                 ("never back",),
@@ -178,7 +178,7 @@
             ),
             (
                 "the register of members goes on in the next epoch",
-                ACCEPTOR + "install",
+                ACCEPTOR + "_join",
                 "if self.slots.pop(MEMBERSHIP_VERSION, None):",
                 "if False:",
                 ("proposed",),
@@ -186,7 +186,7 @@
             ),
             (
                 "a member is installed empty",
-                ACCEPTOR + "install",
+                ACCEPTOR + "_join",
                 "self.merge_state(state)",
                 "pass",
                 ("lasts", "one content"),
--- a/meadowworks/modelcheck/seeded_faults/replica.py
+++ b/meadowworks/modelcheck/seeded_faults/replica.py
@@ -135,7 +135,7 @@
             ),
             (
                 "a member's new epoch is not written",
-                ACCEPTOR + "install",
+                ACCEPTOR + "_join",
                 "self.installed, self.metadata_changed = True, True",
                 "self.installed = True",
                 ("told rests on the disk", "own rests on the disk", "whole"),
@@ -143,7 +143,7 @@
             ),
             (
                 "the register of members stays on the disk",
-                ACCEPTOR + "install",
+                ACCEPTOR + "_join",
                 "self.changed_slots.add(MEMBERSHIP_VERSION)",
                 "pass",
                 ("whole",),
--- a/meadowworks/modelcheck/seeded_faults/replicated_log.py
+++ b/meadowworks/modelcheck/seeded_faults/replicated_log.py
@@ -8,6 +8,8 @@
 
 PACKAGE = "meadowworks.consensus."
 LOG_REPLICA, LOG = PACKAGE + "log_replica:LogReplica.", PACKAGE + "replicated_log:ReplicatedLog."
+BEST_LOG_SOURCE = PACKAGE + "replicated_log:best_log_source"
+LOG_SENDER = PACKAGE + "log_sender:"
 MOST_UP_TO_DATE = PACKAGE + "replicated_log:most_up_to_date"
 ACCEPTOR, RECONFIGURATION = PACKAGE + "acceptor:Acceptor.", PACKAGE + "reconfiguration:Reconfiguration."
 COMMITTED_ARE_KEPT = ("leaders are complete", "committed entries last", "same entries", NO_EXCEPTION)
@@ -25,10 +27,20 @@
 SNAPSHOT = "a follower is behind a snapshot"
 SECOND_SNAPSHOT = "a snapshot arrives twice"
 REPLACED_DISK = "a replaced disk joins the next epoch"
-SEALED_CANDIDATE = "a candidate is sealed"
 SINGLE_NODE = "the epoch of a single node ends twice"
 EPOCH_BEGINS = "an epoch begins with two of three members"
 TWO_LEADERS = "two leaders of one epoch join the next"
+REPLACED_DISK_WHOLE = "a replaced disk joins the next epoch with a whole state"
+SINGLE_NODE_WHOLE = "the epoch of a single node ends twice with a whole state"
+TWO_LEADERS_WHOLE = "two leaders of one epoch join the next with whole states"
+REPLACED_DISK_SNAPSHOT = "a replaced disk joins the next epoch with a snapshot"
+EPOCH_BEGINS_WHOLE = "an epoch begins with two of three members and whole states"
+SECOND_SNAPSHOT_WHOLE = "a whole snapshot arrives twice"
+SEALED_CANDIDATE_WHOLE = "a candidate is sealed with a whole state"
+TWO_LEADERS_REPLACED_DISK = "two leaders of one epoch, a disk is replaced"
+TWO_EQUAL_LOGS = "two leaders of one epoch with logs of one length, a disk is replaced"
+LATER_LEADER = "another leader appends while a follower reads a snapshot"
+COMPACTED_WHILE_READ = "entries are compacted while a follower reads a snapshot"
 
 SCENARIO_INDICES = {scenario.name: index for index, scenario in enumerate(SCENARIOS)}
 REPLICATED_LOG_FAULTS = tuple(
@@ -208,7 +220,7 @@
         # The follower's log.
         (
             "a leader of an earlier term appends",
-            LOG_REPLICA + "_on_append_request",
+            LOG_REPLICA + "_on_leader_request",
             "if request.term < self.log.term:",
             "if False:",
             ("barriers cover", *COMMITTED_ARE_KEPT),
@@ -245,7 +257,7 @@
             "if request.snapshot.index > self.commit_index:",
             "if True:",
             COMMITTED_ARE_KEPT,
-            SECOND_SNAPSHOT,
+            SECOND_SNAPSHOT_WHOLE,
         ),
         (
             "a request from before the snapshot is taken as it is",
@@ -296,7 +308,7 @@
             " or not self.may_vote()",
             "",
             COMMITTED_ARE_KEPT,
-            SINGLE_NODE,
+            SINGLE_NODE_WHOLE,
         ),
         (
             "a seal does not stop votes",
@@ -304,7 +316,7 @@
             " and self.sealed_by is None",
             "",
             COMMITTED_ARE_KEPT,
-            SEALED_CANDIDATE,
+            SEALED_CANDIDATE_WHOLE,
         ),
         (
             "requests of an epoch are answered before it is installed",
@@ -312,15 +324,15 @@
             "request.epoch != acceptor.epoch.number or ",
             "",
             COMMITTED_ARE_KEPT,
-            EPOCH_BEGINS,
+            EPOCH_BEGINS_WHOLE,
         ),
         (
             "an epoch is installed without a log",
             RECONFIGURATION + "request",
-            "replace(merged.export_state(), log=log)",
-            "merged.export_state()",
+            "replace(registers, log=log)",
+            "registers",
             ("committed entries last", "log replies are durable", "log written whole"),
-            REPLACED_DISK,
+            REPLACED_DISK_WHOLE,
         ),
         (
             "a member joins an epoch without its log",
@@ -328,7 +340,7 @@
             "return NotAMemberReply(self.epoch.number)\n    self._adopt_log(next_epoch, state.log)",
             "return NotAMemberReply(self.epoch.number)",
             ("committed entries last", "log replies are durable"),
-            REPLACED_DISK,
+            REPLACED_DISK_WHOLE,
         ),
         (
             "the least up-to-date log is installed",
@@ -336,7 +348,7 @@
             "max(present",
             "min(present",
             ("committed entries last",),
-            REPLACED_DISK,
+            REPLACED_DISK_WHOLE,
         ),
         (
             "the longest log is installed",
@@ -344,7 +356,7 @@
             "key=lambda state: state.last_position",
             "key=lambda state: state.last_position.index",
             ("committed entries last",),
-            TWO_LEADERS,
+            TWO_LEADERS_WHOLE,
         ),
         (
             "a log is transferred without the seal of a majority",
@@ -360,7 +372,7 @@
             "self.log.epoch >= epoch.number",
             "self.log.epoch > epoch.number",
             ("committed entries last", *COMMITTED_ARE_KEPT),
-            SINGLE_NODE,
+            SINGLE_NODE_WHOLE,
         ),
         (
             "the log of a new epoch is not written",
@@ -376,8 +388,81 @@
             "self.epoch = epoch",
             "pass",
             WRITTEN,
+            REPLACED_DISK_WHOLE,
+        ),
+        # Positions and transfers of the log.
+        (
+            "the position of the least up-to-date log is required",
+            BEST_LOG_SOURCE,
+            "max(present",
+            "min(present",
+            ("committed entries last",),
             REPLACED_DISK,
         ),
+        (
+            "the position of the longest log is required",
+            BEST_LOG_SOURCE,
+            "key=lambda source: source.position",
+            "key=lambda source: source.position.index",
+            ("committed entries last",),
+            TWO_EQUAL_LOGS,
+        ),
+        (
+            "a member joins an epoch with a log that ends before the required position",
+            ACCEPTOR + "_continue_log",
+            "if self.log.last_position >= required:",
+            "if True:",
+            COMMITTED_ARE_KEPT,
+            REPLACED_DISK,
+        ),
+        (
+            "a log is required to have as many entries, not as late ones",
+            ACCEPTOR + "_continue_log",
+            "if self.log.last_position >= required:",
+            "if self.log.last_index >= required.index:",
+            COMMITTED_ARE_KEPT,
+            TWO_EQUAL_LOGS,
+        ),
+        (
+            "the own log that continues in an epoch is not written",
+            LOG + "continue_in",
+            "self.metadata_changed = True",
+            "pass",
+            WRITTEN,
+            SINGLE_NODE,
+        ),
+        (
+            "the epoch of the own log is not advanced",
+            LOG + "continue_in",
+            "self.epoch = epoch",
+            "pass",
+            WRITTEN,
+            SINGLE_NODE,
+        ),
+        (
+            "entries after another entry than the reader's are sent",
+            LOG_SENDER + "_entries",
+            "if not log.contains(previous):",
+            "if previous.index > log.last_index:",
+            COMMITTED_ARE_KEPT,
+            TWO_LEADERS_REPLACED_DISK,
+        ),
+        (
+            "uncommitted entries stay in front of those that were fetched",
+            LOG + "accept",
+            "if fetched.previous.index < self.last_index:",
+            "if False:",
+            COMMITTED_ARE_KEPT,
+            TWO_LEADERS_REPLACED_DISK,
+        ),
+        (
+            "a snapshot that was fetched replaces later entries",
+            LOG_REPLICA + "on_snapshot_fetched",
+            " and snapshot.index > self.commit_index",
+            "",
+            ("same entries",),
+            LATER_LEADER,
+        ),
         (
             "a leader stays in its role in the next epoch",
             LOG_REPLICA + "on_epoch_joined",
--- a/meadowworks/simulation/control/acceptor_patches.py
+++ b/meadowworks/simulation/control/acceptor_patches.py
@@ -108,11 +108,11 @@
     self.connection.execute("PRAGMA synchronous=OFF")
 
 
-def reply_without_seal(self: Acceptor, epoch: int, next_epoch: Epoch) -> Reply:
+def reply_without_seal(self: Acceptor, epoch: int, next_epoch: Epoch) -> Reply | None:  # noqa: ARG001
     """Reply that the epoch is sealed without sealing it."""
     if self.epoch.number != epoch or not self.installed:
         return NotAMemberReply(self.epoch.number)
-    return SealedReply(next_epoch, self.export_state())
+    return None
 
 
 def install_empty_state(self: Acceptor, next_epoch: Epoch, _state: AcceptorState) -> Reply:
--- a/meadowworks/simulation/coordination/seeded_faults.py
+++ b/meadowworks/simulation/coordination/seeded_faults.py
@@ -16,7 +16,7 @@
 from meadowworks.consensus.effects import CompleteBarrier
 from meadowworks.consensus.log_replica import LogReplica
 from meadowworks.consensus.messages import Reply
-from meadowworks.consensus.replicated_log import LogState, ReplicatedLog
+from meadowworks.consensus.replicated_log import LogSource, LogState, ReplicatedLog
 from meadowworks.consensus.values import AcceptorState, Epoch, Term
 from meadowworks.coordination.commands import ExpireLock
 from meadowworks.coordination.locks import LockTable
@@ -71,7 +71,12 @@
     return Done()
 
 
-def install_without_log(self: Acceptor, next_epoch: Epoch, state: AcceptorState) -> Reply:
+def install_without_log(
+    self: Acceptor,
+    next_epoch: Epoch,
+    state: AcceptorState,
+    _source: LogSource | None,
+) -> Reply:
     """Join an epoch with an empty log."""
     return _install(self, next_epoch, replace(state, log=LogState()))
 
@@ -97,7 +102,7 @@
     SeededFault("expiry-check", "a hold that was extended does not expire",
                 LockTable, "expire", expire_extended_hold),
     SeededFault("log-transfer", "a new epoch starts with the log of the previous one",
-                Acceptor, "install", install_without_log),
+                Acceptor, "install_at", install_without_log),
     SeededFault("put-memory", "a copy of a put gets the outcome of the first",
                 PutOutcomes, "remember", forget_put),
     SeededFault("own-sync", "a leader counts its own entries once they are on disk",
--- a/tests/consensus/log_cluster.py
+++ b/tests/consensus/log_cluster.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from meadowworks.consensus import codec
 from meadowworks.consensus.effects import (
     ApplyEntries,
     CompleteBarrier,
@@ -17,11 +18,13 @@
     SendReply,
     SendRequest,
 )
+from meadowworks.consensus.messages import POSITION_REQUEST_TYPES, Reply, Request
 from meadowworks.consensus.metadata import load_acceptor
 from meadowworks.consensus.replica import Replica
 from meadowworks.consensus.replicated_log import EntryPosition, ReplicatedLog
 from meadowworks.consensus.timing import MILLISECOND_NS, SECOND_NS
 from meadowworks.consensus.values import Epoch
+from meadowworks.gossip import messages as gossip_messages
 from meadowworks.storage.sqlite_store import SqliteStore
 
 WRITE_NS = 5 * MILLISECOND_NS
@@ -47,6 +50,7 @@
         self.barriers: dict[int, int | None] = {}
         self.deferred: list[Callable[[], None]] = []
         self.stalled_disk = False
+        self.is_old_release = False  # reads no messages with positions
 
     def start(self) -> None:
         self.life += 1
@@ -156,19 +160,25 @@
                 self.replica.on_reply(self.cluster.now, request_id, member_id, reply)
                 self.run_effects()
 
-            self.cluster.transmit(target, self, self.guarded(arrive))
+            self.cluster.transmit(target, self, self.guarded(arrive), reply)
 
         def arrive() -> None:
-            if target.up:
+            if target.is_old_release and isinstance(effect.request, POSITION_REQUEST_TYPES):
+                self.cluster.transmit(target, self, self.guarded(refuse))
+            elif target.up:
                 target.guarded(lambda: target.receive((on_reply, effect.request_id), effect.request))()
             else:
                 fail()
 
+        def refuse() -> None:
+            self.replica.on_request_unreadable(self.cluster.now, effect.request_id)
+            self.run_effects()
+
         def fail() -> None:
             self.replica.on_request_failed(self.cluster.now, effect.request_id)
             self.run_effects()
 
-        self.cluster.transmit(self, target, arrive)
+        self.cluster.transmit(self, target, arrive, effect.request)
         self.cluster.call_later(SECOND_NS, self.guarded(fail))
 
     def receive(self, ticket: Any, request: Any) -> None:
@@ -211,6 +221,8 @@
         self.nodes = [Node(self, number, True) for number in range(1, size + 1)]
         self.by_address = {node.address: node for node in self.nodes}
         self.committed: dict[int, bytes] = {}
+        self.bytes_per_s = 0  # at which messages are encoded and sent; 0: in no time
+        self.largest_message_bytes = 0  # counted if messages take time
         for node in self.nodes:
             node.start()
 
@@ -225,9 +237,18 @@
     def connected(self, source: Node, target: Node) -> bool:
         return (source.address, target.address) not in self.cuts
 
-    def transmit(self, source: Node, target: Node, action: Callable[[], None]) -> None:
+    def transmit(
+        self, source: Node, target: Node, action: Callable[[], None], message: Request | Reply | None = None
+    ) -> None:
         if self.connected(source, target):
-            self.call_later(self.random.randrange(MAX_DELAY_NS), action)
+            self.call_later(self.random.randrange(MAX_DELAY_NS) + self.encoding_ns(message), action)
+
+    def encoding_ns(self, message: Request | Reply | None) -> int:
+        if not self.bytes_per_s or message is None:
+            return 0
+        size_bytes = len(gossip_messages.encode(codec.encode(message)))
+        self.largest_message_bytes = max(self.largest_message_bytes, size_bytes)
+        return size_bytes * SECOND_NS // self.bytes_per_s
 
     def isolate(self, node: Node) -> None:
         for other in self.nodes:
--- a/tests/consensus/test_codec.py
+++ b/tests/consensus/test_codec.py
@@ -15,27 +15,39 @@
     LogVoteReply,
     LogVoteRequest,
     SnapshotAppendRequest,
+    SnapshotOfferRequest,
+    SnapshotPendingReply,
 )
 from meadowworks.consensus.messages import (
     AcceptedReply,
     AcceptRequest,
     BallotRejectedReply,
     InstalledReply,
+    InstallPositionRequest,
     InstallRequest,
     LearnRequest,
+    LogMissingReply,
     NotAMemberReply,
     PrepareRequest,
     PromiseReply,
     QueryReply,
     QueryRequest,
+    SealedPositionReply,
     SealedReply,
+    SealPositionRequest,
     SealRequest,
     SnapshotReply,
     SnapshotRequest,
     StaleEpochReply,
     VersionDecidedReply,
 )
-from meadowworks.consensus.replicated_log import Entry, EntryPosition, LogSnapshot, LogState
+from meadowworks.consensus.replicated_log import Entry, EntryPosition, LogSnapshot, LogSource, LogState
+from meadowworks.consensus.transfer_messages import (
+    EntriesReply,
+    EntriesRequest,
+    SnapshotChunkReply,
+    SnapshotChunkRequest,
+)
 from meadowworks.consensus.values import (
     NO_BALLOT,
     NO_EPOCH_NUMBER,
@@ -81,6 +93,17 @@
     AppendReply(Term(1, 2), True, 5, 4),
     LogVoteReply(Term(1, 2), Term(1, 3), False, True),
     CampaignReply(Term(1, 2)),
+    SealPositionRequest(1, ABC),
+    InstallPositionRequest(1, ABC, AcceptorState(CommittedValue(), (), ()), LogSource(POSITION, "h:1")),
+    InstallPositionRequest(1, ABC, AcceptorState(CommittedValue(), (), ()), None),
+    SealedPositionReply(ABC, AcceptorState(CommittedValue(), (), ()), LogSource(POSITION, "h:1")),
+    LogMissingReply(1),
+    SnapshotOfferRequest(1, Term(1, 2), "p", POSITION, 4),
+    SnapshotPendingReply(Term(1, 2), 4),
+    SnapshotChunkRequest(1, POSITION, 9),
+    SnapshotChunkReply(POSITION, 12, b"digest", 9, b"end"),
+    EntriesRequest(1, POSITION),
+    EntriesReply(POSITION, True, (Entry(Term(1, 2), b"e"),)),
 ]
 
 
--- a/tests/consensus/test_proposer.py
+++ b/tests/consensus/test_proposer.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import pytest
+
 from meadowworks.consensus import codec
 from meadowworks.consensus.acceptor import Acceptor
 from meadowworks.consensus.messages import (
     AcceptedReply,
     InstalledReply,
     PromiseReply,
+    Reply,
+    SealedPositionReply,
     SealedReply,
 )
 from meadowworks.consensus.metadata import load_acceptor
@@ -78,10 +82,21 @@
     assert not proposer.on_reply("c", promise)  # a late reply of the first round
     assert proposer.on_reply("c", accepted)
     assert proposer.outcome == Chosen(6, b"X")
-    reconfiguration, state = Reconfiguration(ABC, Epoch(2, (B, C, D))), Acceptor("").export_state()
+
+
+@pytest.mark.parametrize("sends_whole_states", [False, True])
+def test_a_reconfiguration_counts_replies_of_members_once_each(sends_whole_states: bool) -> None:
+    next_epoch, state = Epoch(2, (B, C, D)), Acceptor("").export_state()
+    reconfiguration = Reconfiguration(ABC, next_epoch)
+    replies: list[Reply] = [SealedPositionReply(next_epoch, state, None), SealedReply(next_epoch, state)]
+    if sends_whole_states:
+        reconfiguration.send_whole_states()
+        replies.reverse()
+    sealed, of_other_form = replies
     for member_id in ("x", "a", "a"):
-        assert not reconfiguration.on_reply(member_id, SealedReply(Epoch(2, (B, C, D)), state))
-    assert reconfiguration.on_reply("b", SealedReply(Epoch(2, (B, C, D)), state))
+        assert not reconfiguration.on_reply(member_id, sealed)
+    assert not reconfiguration.on_reply("b", of_other_form)  # lacks the log, or where it is
+    assert reconfiguration.on_reply("b", sealed)
     assert reconfiguration.installing
     for member_id in ("a", "x", "b", "b"):  # a is not a member of the next epoch
         assert not reconfiguration.on_reply(member_id, InstalledReply(2))
--- a/tests/gateway/golden_product.py
+++ b/tests/gateway/golden_product.py
@@ -26,6 +26,8 @@
     LogVoteReply,
     LogVoteRequest,
     SnapshotAppendRequest,
+    SnapshotOfferRequest,
+    SnapshotPendingReply,
 )
 from meadowworks.consensus.membership import decode_member_list, encode_member_list
 from meadowworks.consensus.messages import (
@@ -33,14 +35,18 @@
     AcceptRequest,
     BallotRejectedReply,
     InstalledReply,
+    InstallPositionRequest,
     InstallRequest,
     LearnRequest,
+    LogMissingReply,
     NotAMemberReply,
     PrepareRequest,
     PromiseReply,
     QueryReply,
     QueryRequest,
+    SealedPositionReply,
     SealedReply,
+    SealPositionRequest,
     SealRequest,
     SnapshotReply,
     SnapshotRequest,
@@ -49,7 +55,13 @@
 )
 from meadowworks.consensus.metadata import load_acceptor
 from meadowworks.consensus.replica import Replica
-from meadowworks.consensus.replicated_log import Entry, EntryPosition, LogSnapshot, LogState
+from meadowworks.consensus.replicated_log import Entry, EntryPosition, LogSnapshot, LogSource, LogState
+from meadowworks.consensus.transfer_messages import (
+    EntriesReply,
+    EntriesRequest,
+    SnapshotChunkReply,
+    SnapshotChunkRequest,
+)
 from meadowworks.consensus.values import (
     NO_BALLOT,
     NO_EPOCH_NUMBER,
@@ -106,6 +118,17 @@
     "LogVoteRequest",
     "SnapshotAppendRequest",
     "Term",
+    "SealPositionRequest",
+    "InstallPositionRequest",
+    "SealedPositionReply",
+    "LogMissingReply",
+    "SnapshotOfferRequest",
+    "SnapshotPendingReply",
+    "LogSource",
+    "SnapshotChunkRequest",
+    "SnapshotChunkReply",
+    "EntriesRequest",
+    "EntriesReply",
     "AcceptRequest",
     "AcceptedReply",
     "AcceptorSlot",
--- a/tests/gateway/test_golden.py
+++ b/tests/gateway/test_golden.py
@@ -55,6 +55,8 @@
 STATE_WITH_LOG = product.AcceptorState(COMMITTED, HISTORY, SLOTS, product.LogState(SNAPSHOT, ENTRIES))
 STATE_WITH_EMPTY_LOG = product.AcceptorState(NOT_COMMITTED, (), (), product.LogState())
 
+LOG_SOURCE = product.LogSource(POSITION, "10.0.0.1:7000")
+
 CONSENSUS_MESSAGES: dict[str, Any] = {
     "prepare": product.PrepareRequest(3, 8, BALLOT),
     "prepare of the members, first start": product.PrepareRequest(0, 0, BOOTSTRAP_BALLOT),
@@ -106,6 +108,19 @@
     "appended": product.AppendReply(TERM, True, 43, 7),
     "voted": product.LogVoteReply(TERM, TERM, True, False),
     "campaigning": product.CampaignReply(TERM),
+    "seal at a position": product.SealPositionRequest(3, EPOCH_3),
+    "sealed at a position": product.SealedPositionReply(EPOCH_3, STATE, LOG_SOURCE),
+    "sealed without a log": product.SealedPositionReply(EPOCH_3, EMPTY_STATE, None),
+    "install at a position": product.InstallPositionRequest(3, EPOCH_3, STATE, LOG_SOURCE),
+    "install at a position, no log": product.InstallPositionRequest(3, EPOCH_3, EMPTY_STATE, None),
+    "log missing": product.LogMissingReply(3),
+    "offer a snapshot": product.SnapshotOfferRequest(3, TERM, "d1", POSITION, 7),
+    "snapshot pending": product.SnapshotPendingReply(TERM, 7),
+    "read a snapshot": product.SnapshotChunkRequest(3, POSITION, 262144),
+    "chunk of a snapshot": product.SnapshotChunkReply(POSITION, 262147, bytes(range(16)), 262144, b"end"),
+    "read entries": product.EntriesRequest(3, POSITION),
+    "entries": product.EntriesReply(POSITION, True, ENTRIES),
+    "entries of an unknown position": product.EntriesReply(POSITION, False, ()),
 }
 
 CONTROL_PLANE_RECORD = product.PeerRecord(
--- a/tests/simulation/test_coordination_faults_alone.py
+++ b/tests/simulation/test_coordination_faults_alone.py
@@ -32,6 +32,9 @@
     def send_log_request(self, member_id: str, address: str, request: LogRequest) -> None:
         pass
 
+    def reads_positions(self, member_id: str) -> bool:
+        return True
+
     def defer_until_durable(self, item: OwnVote | OwnAppend) -> None:
         self.deferred.append(item)
 
--- a/tests/simulation/test_guards_alone.py
+++ b/tests/simulation/test_guards_alone.py
@@ -10,7 +10,7 @@
 import pytest
 
 from meadowworks.consensus.effects import SendRequest
-from meadowworks.consensus.messages import InstalledReply, InstallRequest
+from meadowworks.consensus.messages import InstalledReply, InstallPositionRequest
 from meadowworks.consensus.reconfiguration import Reconfiguration
 from meadowworks.consensus.replica import Replica
 from meadowworks.consensus.timing import RESEND_INTERVAL_NS, STALL_THRESHOLD_NS
@@ -57,7 +57,7 @@
     call = Reconfiguration(ABC, NEXT_EPOCH)
     for member_id in ("a", "b"):
         call.on_reply(member_id, member(member_id).handle(call.request()))
-    assert isinstance(call.request(), InstallRequest)
+    assert isinstance(call.request(), InstallPositionRequest)
     call.on_reply("a", InstalledReply(NEXT_EPOCH.number))
     assert call.outcome is None  # one of three new members
     call.on_reply("d", InstalledReply(NEXT_EPOCH.number))
