--- a/tests/simulation/test_coordination_judge.py
+++ b/tests/simulation/test_coordination_judge.py
@@ -50,6 +50,10 @@
 
 
 WRONG_HISTORIES = {
+    "two-holders-after-a-release-of-an-earlier-fence": (
+        "ONE",
+        [acquire("a", 0, 10, 1), acquire("a", 100, 110, 2), release("a", 200, 1), acquire("b", 500, 600, 3)],
+    ),
     "two-holders": ("ONE", [acquire("a", 0, 10, 1), acquire("b", 500, 999, 2)]),
     "two-holders-after-renewal": (
         "ONE",
@@ -227,6 +231,13 @@
 
 
 RIGHT_HISTORIES = {
+    # lab coordination, seed 0: the owner forgot a hold, acquired the lock again and released it.
+    "release-after-a-second-acquisition": [
+        acquire("a", 0, 10, 1),
+        acquire("a", 100, 110, 2, hold_ms=300),
+        release("a", 200, 2),
+        acquire("b", 500, 600, 3),
+    ],
     "next-holder-when-the-time-has-passed": [acquire("a", 0, 10, 1), acquire("b", 500, 1000, 2)],
     "renewal-answered-too-late-counts-for-nothing": [
         acquire("a", 0, 10, 1),
