--- a/meadowworks/controlplane/coordination.py
+++ b/meadowworks/controlplane/coordination.py
@@ -16,7 +16,8 @@
 from meadowworks.controlplane.replicated_state import ReplicatedState
 from meadowworks.controlplane.watch_resource import WatchResource
 from meadowworks.controlplane.watch_service import WatchService
-from meadowworks.runtime.clock import now_ns
+from meadowworks.coordination.history_retention import HistoryRetention
+from meadowworks.runtime.clock import NS_PER_SECOND, now_ns
 from meadowworks.runtime.node_settings import NodeSettings
 from meadowworks.runtime.peer_client import PeerClientPool
 
@@ -34,14 +35,17 @@
         replica = config_service.replica
         self._peer_clients = PeerClientPool(MAX_IDLE_CONNECTIONS)
         self.replicated = ReplicatedState(replica, config_service.run_effects)
+        history_s = settings.bounds.history_s
+        retention = HistoryRetention(int(history_s * NS_PER_SECOND))
         self.service = CoordinationService(
             self.replicated,
             LeaderClient(self._peer_clients),
             f"{settings.ip}:{settings.peer_port}",
             lambda: [address for _, address in replica.acceptor.newest_epoch().members],
+            retention,
         )
-        self.watches = WatchService(self.replicated, self.service)
-        self.duties = LeaderDuties(self.replicated, settings.bounds.history_s)
+        self.watches = WatchService(self.replicated, self.service, history_s)
+        self.duties = LeaderDuties(self.replicated, retention)
         config_service.log_listener = self.replicated
 
     def routes(self) -> ApiRoutes:
--- a/meadowworks/controlplane/coordination_calls.py
+++ b/meadowworks/controlplane/coordination_calls.py
@@ -46,7 +46,20 @@
     """Return a log index that covers all commands acknowledged before the call."""
 
 
-Call = SubmitCommand | ReadCell | ReadGroupRevision | ReadBarrier
+@dataclass(frozen=True, slots=True)
+class RetainHistory:
+    """Keep the events of a group above a revision that a watch is about to return.
+
+    `after` is the revision that the watch resumed from.
+    """
+
+    group: str
+    after: int
+    revision: int
+
+
+ReadCall = ReadCell | ReadGroupRevision | ReadBarrier | RetainHistory
+Call = SubmitCommand | ReadCall
 
 # -- replies
 
@@ -79,6 +92,13 @@
     index: int
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryRetained:
+    """Whether the events are kept; otherwise the watch must not return the revision."""
+
+    is_kept: bool
+
+
 @dataclass(frozen=True, slots=True)
 class NotLeader:
     """The node is not the leader and did nothing; `leader_address` is empty if the leader is not known."""
@@ -96,7 +116,7 @@
     """The command may have taken effect, or may do so later."""
 
 
-Answer = CommandResult | CellContent | GroupRevision | BarrierIndex
+Answer = CommandResult | CellContent | GroupRevision | BarrierIndex | HistoryRetained
 Reply = Answer | NotLeader | Overloaded | InDoubt
 
 # -- encoding
@@ -112,6 +132,7 @@
     NOT_LEADER = 5
     OVERLOADED = 6
     IN_DOUBT = 7
+    RETENTION = 8
 
 
 class TimedCall(NamedTuple):
@@ -135,6 +156,8 @@
             return messages.encode([Kind.GROUP_REVISION, timeout_ms, group])
         case ReadBarrier():
             return messages.encode([Kind.BARRIER, timeout_ms])
+        case RetainHistory(group, after, revision):
+            return messages.encode([Kind.RETENTION, timeout_ms, group, after, revision])
         case _:
             assert_never(call)
 
@@ -158,6 +181,9 @@
             return ReadGroupRevision(str(arguments[0]))
         case Kind.BARRIER:
             return ReadBarrier()
+        case Kind.RETENTION:
+            group, after, revision = arguments
+            return RetainHistory(str(group), int(after), int(revision))
     raise MalformedMessageError(f"unknown kind of coordination call: {kind!r}")
 
 
@@ -172,6 +198,8 @@
             return messages.encode([Kind.GROUP_REVISION, revision])
         case BarrierIndex(index):
             return messages.encode([Kind.BARRIER, index])
+        case HistoryRetained(is_kept):
+            return messages.encode([Kind.RETENTION, is_kept])
         case NotLeader(address):
             return messages.encode([Kind.NOT_LEADER, address])
         case Overloaded():
@@ -197,6 +225,8 @@
             return GroupRevision(int(fields[0]))
         case Kind.BARRIER:
             return BarrierIndex(int(fields[0]))
+        case Kind.RETENTION:
+            return HistoryRetained(bool(fields[0]))
         case Kind.NOT_LEADER:
             return NotLeader(str(fields[0]))
         case Kind.OVERLOADED:
--- a/meadowworks/controlplane/coordination_service.py
+++ b/meadowworks/controlplane/coordination_service.py
@@ -14,6 +14,7 @@
     CellContent,
     CommandResult,
     GroupRevision,
+    HistoryRetained,
     InDoubt,
     NotLeader,
     Overloaded,
@@ -21,6 +22,7 @@
     ReadCell,
     ReadGroupRevision,
     Reply,
+    RetainHistory,
     SubmitCommand,
     decode_call,
     encode_reply,
@@ -30,6 +32,7 @@
 from meadowworks.controlplane.replicated_state import ReplicatedState
 from meadowworks.controlplane.stall_guard import StallGuard
 from meadowworks.coordination.commands import Command
+from meadowworks.coordination.history_retention import HistoryRetention
 from meadowworks.coordination.results import Cell, Result, TooManyNames
 from meadowworks.runtime.clock import now_ns
 
@@ -59,6 +62,7 @@
     :param leader_client: sends calls to other nodes.
     :param own_address: the peer address of this node.
     :param members: returns the peer addresses of the members of the newest epoch.
+    :param retention: decides which events this node keeps as the leader.
     """
 
     def __init__(
@@ -67,12 +71,13 @@
         leader_client: LeaderClient,
         own_address: str,
         members: Callable[[], Sequence[str]],
+        retention: HistoryRetention,
     ) -> None:
         self._replicated = replicated
         self._leader_client = leader_client
         self._own_address = own_address
         self._members = members
-        self.leader_calls = LeaderCalls(replicated)
+        self.leader_calls = LeaderCalls(replicated, retention)
         self.stall_guard = StallGuard()
         self.waiting_count = 0
         self._is_shutting_down = False
@@ -112,6 +117,19 @@
         assert isinstance(answer, BarrierIndex)
         return answer.index
 
+    async def retain_history(self, group: str, after: int, revision: int) -> bool | Unavailable:
+        """Keep the events of a group above a revision for callers that resume from it.
+
+        :param after: the revision that the watch resumed from.
+        :returns: whether they are kept.
+        """
+        # Also while this node shuts down, as it then answers the waiting watches.
+        answer = await self._call_counted(RetainHistory(group, after, revision))
+        if isinstance(answer, Unavailable):
+            return answer
+        assert isinstance(answer, HistoryRetained)
+        return answer.is_kept
+
     async def answer_forwarded(self, body: bytes) -> bytes:
         """Return the encoded reply to another node's call, which is not forwarded again.
 
@@ -128,7 +146,12 @@
         self._is_shutting_down = True
 
     async def _call(self, call: Call) -> Answer | Unavailable:
-        if self._is_shutting_down or self.stall_guard.refuses(now_ns()):
+        if self._is_shutting_down:
+            return Unavailable(is_certain=True)
+        return await self._call_counted(call)
+
+    async def _call_counted(self, call: Call) -> Answer | Unavailable:
+        if self.stall_guard.refuses(now_ns()):
             return Unavailable(is_certain=True)
         if self.waiting_count >= MAX_WAITING_CALLS:
             return Unavailable(is_certain=True, overloaded=True)
@@ -150,7 +173,15 @@
                 case CommandResult(TooManyNames()) if may_have_run:
                     # An earlier copy may still be committed, when there is room again.
                     return Unavailable(is_certain=False)
-                case CommandResult() | CellContent() | GroupRevision() | BarrierIndex() as answer:
+                case (
+                    (
+                        CommandResult()
+                        | CellContent()
+                        | GroupRevision()
+                        | BarrierIndex()
+                        | HistoryRetained()
+                    ) as answer
+                ):
                     return answer
                 case InDoubt():
                     may_have_run = may_have_run or isinstance(call, SubmitCommand)
--- a/meadowworks/controlplane/leader_duties.py
+++ b/meadowworks/controlplane/leader_duties.py
@@ -12,14 +12,13 @@
     ReleaseLock,
     RenewLock,
 )
+from meadowworks.coordination.history_retention import HistoryRetention
 from meadowworks.coordination.hold_deadlines import HoldDeadlines
-from meadowworks.coordination.put_ages import PutAges
 from meadowworks.coordination.results import Result
 from meadowworks.runtime import logging as logs
-from meadowworks.runtime.clock import NS_PER_SECOND, now_ns
+from meadowworks.runtime.clock import now_ns
 
 INTERVAL_S = 0.05
-HISTORY_MARGIN = 2  # events are kept this many times longer than they must be
 log = logs.get_logger("coordination")
 
 
@@ -27,14 +26,12 @@
     """Proposes that holds expire and that old events are discarded while this node is the leader.
 
     :param replicated: this node's state and log.
-    :param history_s: how long events must be kept, in seconds.
+    :param retention: decides which events must be kept.
     """
 
-    def __init__(self, replicated: ReplicatedState, history_s: float) -> None:
-        self._replicated = replicated
-        self._history_ns = int(HISTORY_MARGIN * history_s * NS_PER_SECOND)
+    def __init__(self, replicated: ReplicatedState, retention: HistoryRetention) -> None:
+        self._replicated, self._retention = replicated, retention
         self._hold_deadlines = HoldDeadlines()
-        self._put_ages = PutAges()
         self._is_leader = False
         replicated.observers.append(self)
 
@@ -66,7 +63,7 @@
             if self._is_leader:
                 log.info("coordination_leader_lost", epoch=change.term.epoch, term=change.term.number)
             self._hold_deadlines.clear()
-        self._put_ages.restart()
+        self._retention.restart()
         self._is_leader = change.is_own
 
     def _expire_holds(self, now: int) -> None:
@@ -74,7 +71,7 @@
             self._replicated.propose_without_result(command)
 
     def _discard_history(self, now: int) -> None:
-        self._put_ages.note(now, self._replicated.latest_put_index)
-        index = self._put_ages.take_older_than(now, self._history_ns)
-        if index is not None:
-            self._replicated.propose_without_result(DiscardHistory(index))
+        self._retention.note_put(now, self._replicated.latest_put_index)
+        index = self._retention.discardable_index(now)
+        if index is not None and self._replicated.propose_without_result(DiscardHistory(index)):
+            self._retention.on_discard_proposed(index)
--- a/meadowworks/controlplane/watch_service.py
+++ b/meadowworks/controlplane/watch_service.py
@@ -32,15 +32,20 @@
 class WatchService:
     """Answers watches.
 
-    A watch first waits until this node has applied everything that was acknowledged before it.
+    A watch first waits until this node has applied everything that was acknowledged before it. A caller may
+    resume from each revision that it receives for `historyS`. Events that are put after a watch has begun are
+    kept long enough in any case; for older ones, and at the end of a long wait, the leader is asked to keep
+    them before they are returned.
 
     :param replicated: this node's state.
-    :param service: provides read barriers.
+    :param service: provides read barriers, and keeps events.
+    :param history_s: how long callers may resume from a revision, in seconds.
     """
 
-    def __init__(self, replicated: ReplicatedState, service: CoordinationService) -> None:
+    def __init__(self, replicated: ReplicatedState, service: CoordinationService, history_s: float) -> None:
         self._replicated = replicated
         self._service = service
+        self._recent_s = history_s / 2  # events are kept for twice `history_s`
         self._by_group: dict[str, WaitingWatches] = {}
         self._is_shutting_down = False
         self.waiting_count = 0
@@ -91,14 +96,30 @@
         self, group: str, after: int, wait_s: float
     ) -> GroupEvents | HistoryDiscarded | Unavailable:
         loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + wait_s
-        catch_up_deadline_s = loop.time() + max(MIN_CATCH_UP_S, min(wait_s, MAX_CATCH_UP_S))
+        began_s = loop.time()
+        catch_up_deadline_s = began_s + max(MIN_CATCH_UP_S, min(wait_s, MAX_CATCH_UP_S))
         index = await self._service.barrier_index()
         if isinstance(index, Unavailable):
             return index
         if not await self._replicated.wait_until_applied(index, catch_up_deadline_s - loop.time()):
             return Unavailable(is_certain=True)
-        return await self._wait_for_events(group, after, deadline_s)
+        present_revision = self._replicated.state.group_revision(group)
+        found = await self._wait_for_events(group, after, began_s + wait_s)
+        if isinstance(found, HistoryDiscarded):
+            return found
+        first_revision = found.events[0].revision if found.events else found.revision
+        if first_revision >= present_revision and loop.time() - began_s <= self._recent_s:
+            return found  # the puts above all of its revisions came after the watch
+        return await self._retained(group, after, first_revision, found)
+
+    async def _retained(
+        self, group: str, after: int, first_revision: int, found: GroupEvents
+    ) -> GroupEvents | HistoryDiscarded | Unavailable:
+        """Return an answer once the leader keeps the events above the first of its revisions."""
+        is_kept = await self._service.retain_history(group, after, first_revision)
+        if isinstance(is_kept, Unavailable):
+            return is_kept
+        return found if is_kept else HistoryDiscarded()
 
     async def _wait_for_events(
         self, group: str, after: int, deadline_s: float
--- a/meadowworks/coordination/cells.py
+++ b/meadowworks/coordination/cells.py
@@ -100,6 +100,12 @@
         characters = self._value_characters + self._history.value_characters + 2 * len(command.value)
         return characters > MAX_VALUE_CHARACTERS
 
+    @property
+    def is_half_full(self) -> bool:
+        """Whether values and events take half of their bounds or more."""
+        characters = self._value_characters + self._history.value_characters
+        return 2 * characters >= MAX_VALUE_CHARACTERS or 2 * len(self._history) >= MAX_EVENTS
+
     def _exceeds_limits(self, name: str) -> bool:
         if name in self._cells:
             return False
--- a/meadowworks/coordination/history.py
+++ b/meadowworks/coordination/history.py
@@ -72,6 +72,13 @@
         """Return the highest discarded revision of a group, or 0 if none has been discarded."""
         return self._discarded_revisions.get(group, NO_REVISION)
 
+    def index_after(self, group: str, revision: int) -> int | None:
+        """Return the log index of the first event of a group above a revision, None if there is none yet."""
+        events = self._by_group.get(group)
+        if not events or events[-1].revision <= revision:
+            return None
+        return events[max(0, revision + 1 - events[0].revision)].index
+
     def events_after(self, group: str, revision: int) -> tuple[CellEvent, ...]:
         """Return the events of a group above a revision in rising order."""
         newest_first: list[CellEvent] = []
--- a/meadowworks/coordination/put_ages.py
+++ b/meadowworks/coordination/put_ages.py
@@ -41,6 +41,11 @@
             self._last_index = latest_put_index
             self._notes.append(PutNote(now_ns, latest_put_index))
 
+    def latest_older_than(self, now_ns: int, age_ns: int) -> int:
+        """Return the index of the latest put that is at least this old and has not been taken, or 0."""
+        old = (note.put_index for note in self._notes if now_ns - note.time_ns >= age_ns)
+        return max(old, default=0)
+
     def take_older_than(self, now_ns: int, age_ns: int) -> int | None:
         """Return the index of the latest put that is at least this old, once; None if there is no new one."""
         index = None
--- a/meadowworks/coordination/state.py
+++ b/meadowworks/coordination/state.py
@@ -125,10 +125,23 @@
 
     def events_after(self, group: str, revision: int) -> GroupEvents | HistoryDiscarded:
         """Return all events of a group above a revision, unless one of them has been discarded."""
-        if revision < self._history.discarded_revision(group):
+        if self.has_discarded_after(group, revision):
             return HistoryDiscarded()
         return GroupEvents(self._history.events_after(group, revision), self.group_revision(group))
 
+    def has_discarded_after(self, group: str, revision: int) -> bool:
+        """Return whether an event of a group above a revision has been discarded."""
+        return revision < self._history.discarded_revision(group)
+
+    def index_after(self, group: str, revision: int) -> int | None:
+        """Return the log index of the first event of a group above a revision, None if there is none yet."""
+        return self._history.index_after(group, revision)
+
+    @property
+    def is_half_full(self) -> bool:
+        """Whether values and events take half of their bounds or more."""
+        return self._cells.is_half_full
+
     def counts(self) -> StateCounts:
         """Return the numbers of held locks, cells, events and remembered puts."""
         return StateCounts(
--- a/meadowworks/simulation/coordination/coordination_process.py
+++ b/meadowworks/simulation/coordination/coordination_process.py
@@ -13,6 +13,7 @@
 from meadowworks.controlplane.leader_duties import INTERVAL_S, LeaderDuties
 from meadowworks.controlplane.replicated_state import ReplicatedState
 from meadowworks.controlplane.watch_service import WatchService
+from meadowworks.coordination.history_retention import HistoryRetention
 from meadowworks.coordination.results import Cell, Done, GroupEvents, HistoryDiscarded, Result, TooManyNames
 from meadowworks.simulation.control.node import SimulatedControlPlaneNode
 from meadowworks.simulation.coordination.history import (
@@ -31,6 +32,7 @@
     ForwardedCallHandler,
     SimulatedLeaderClient,
 )
+from meadowworks.simulation.event_scheduler import SECOND
 
 OnOutcome = Callable[[Outcome], None]
 ServiceResult = Result | Cell | GroupEvents | HistoryDiscarded | ServiceUnavailable | None
@@ -52,14 +54,16 @@
         driver, replica = node.driver, node.replica
         self._loop = SimulatedEventLoop(node)  # type: ignore[abstract]
         self.replicated = ReplicatedState(replica, driver.run_effects)
+        retention = HistoryRetention(int(history_s * SECOND))
         self.service = CoordinationService(
             self.replicated,
             SimulatedLeaderClient(node, processes),
             node.address,
             lambda: [address for _, address in replica.acceptor.newest_epoch().members],
+            retention,
         )
-        self.watches = WatchService(self.replicated, self.service)
-        self.duties = LeaderDuties(self.replicated, history_s)
+        self.watches = WatchService(self.replicated, self.service, history_s)
+        self.duties = LeaderDuties(self.replicated, retention)
         driver.log_listener = self
         self._loop.start(self._run_duties())
 
--- a/meadowworks/simulation/coordination/coordination_scenario.py
+++ b/meadowworks/simulation/coordination/coordination_scenario.py
@@ -12,8 +12,8 @@
 
 from loguru import logger
 
-from meadowworks.consensus import replicated_log
-from meadowworks.controlplane import coordination_service, replicated_state
+from meadowworks.consensus import log_sender, replicated_log
+from meadowworks.controlplane import coordination_service, replicated_state, watch_service
 from meadowworks.coordination.commands import AcquireLock, IssueNumber
 from meadowworks.simulation.control.cluster import Trace
 from meadowworks.simulation.control.node import SimulatedControlPlaneNode
@@ -38,16 +38,19 @@
 
 PRODUCT_LOGGER = "meadowworks.controlplane"
 TOLERATED_FAILURES = 2
-HISTORY_S, RECOVERY_S = 6, 15  # a short history, so that events are discarded within a run
+HISTORY_S, RECOVERY_S = 3, 15  # a short history, so that events are discarded within a run
 LOAD_START_NS, FAULTS_START_NS, FAULTS_END_NS = 3 * SECOND, 4 * SECOND, 24 * SECOND
 FAULT_GAP_MS = (500, 6000)
 CLOSING_HOLD_MS, CLOSING_WATCH_WAIT_MS = 100, 500
 CALLER_START_WITHIN_NS = SECOND
-# Limits of the product that a run would not reach: snapshots are written and sent to followers.
+# Limits of the product that a run would not reach: snapshots are written, logs are sent in pieces.
 SMALL_LIMITS = (
     (replicated_state, "MAX_ENTRIES_SINCE_SNAPSHOT", 150),
     (replicated_log, "ENTRIES_KEPT_BEFORE_SNAPSHOT", 20),
+    (log_sender, "MAX_PIECE_BYTES", 1024),
 )
+# Answers to watches end early during the load; a closing watch must reach the present with one answer.
+SMALL_EVENT_CHARACTERS = 100
 LOCKS = tuple(f"l{number}" for number in range(4))
 NUMBERS = ("n0", "n1")
 KEYS = tuple(f"g{group}.{key}" for group in range(2) for key in range(5))
@@ -85,7 +88,8 @@
             for module, constant, value in SMALL_LIMITS:
                 stack.enter_context(mock.patch.object(module, constant, value))
             stack.enter_context(product_logs_disabled())
-            self._run_load()
+            with mock.patch.object(watch_service, "MAX_EVENT_CHARACTERS", SMALL_EVENT_CHARACTERS):
+                self._run_load()
             self._run_closing()
             self._stop()
         violations = [str(violation) for violation in judge(self._history)]
--- a/meadowworks/simulation/coordination/node_clock.py
+++ b/meadowworks/simulation/coordination/node_clock.py
@@ -6,7 +6,7 @@
 from contextlib import ExitStack, contextmanager
 from unittest import mock
 
-from meadowworks.controlplane import leader_duties, replicated_state
+from meadowworks.controlplane import leader_calls, leader_duties, replicated_state
 
 Clock = Callable[[], int]
 _clocks: list[Clock] = []
@@ -31,6 +31,6 @@
 def simulated_clocks() -> Iterator[None]:
     """Let the product's coordination modules read the clocks of simulated nodes."""
     with ExitStack() as stack:
-        for module in (leader_duties, replicated_state):
+        for module in (leader_calls, leader_duties, replicated_state):
             stack.enter_context(mock.patch.object(module, "now_ns", now_ns))
         yield
--- a/meadowworks/simulation/coordination/seeded_faults.py
+++ b/meadowworks/simulation/coordination/seeded_faults.py
@@ -19,6 +19,7 @@
 from meadowworks.consensus.replicated_log import LogSource, LogState, ReplicatedLog
 from meadowworks.consensus.values import AcceptorState, Epoch, Term
 from meadowworks.coordination.commands import ExpireLock
+from meadowworks.coordination.history_retention import HistoryRetention
 from meadowworks.coordination.locks import LockTable
 from meadowworks.coordination.put_outcomes import PutOutcome, PutOutcomes
 from meadowworks.coordination.results import Done
@@ -92,6 +93,11 @@
     return index
 
 
+def retain_nothing(self: HistoryRetention, now_ns: int, index: int) -> bool:  # noqa: ARG001
+    """Confirm that events are kept without keeping them."""
+    return True
+
+
 SEEDED_FAULTS = (
     SeededFault("own-term", "a leader commits entries of earlier terms only with one of its own",
                 LogReplica, "_advance_commit_index", commit_entries_of_earlier_terms),
@@ -107,6 +113,8 @@
                 PutOutcomes, "remember", forget_put),
     SeededFault("own-sync", "a leader counts its own entries once they are on disk",
                 LogReplica, "_append", count_unsynced_append),
+    SeededFault("watch-history", "events are kept for callers that received their revision late",
+                HistoryRetention, "retain", retain_nothing),
 )  # fmt: skip
 # Faults that the scenario has not found; tests/simulation/test_coordination_faults_alone.py covers them.
 UNIT_TESTED_FAULTS = ("own-term",)
--- a/tests/gateway/fake_log.py
+++ b/tests/gateway/fake_log.py
@@ -12,8 +12,10 @@
 from meadowworks.controlplane.leader_duties import LeaderDuties
 from meadowworks.controlplane.replicated_state import ReplicatedState
 from meadowworks.controlplane.watch_service import WatchService
+from meadowworks.coordination.history_retention import HistoryRetention
 from meadowworks.runtime.errors import ConnectError, RequestError
 
+HISTORY_S = 20
 PeerHandler = Callable[[bytes], Awaitable[bytes]]
 
 
@@ -88,11 +90,12 @@
         self.replica = FakeReplica(log, address)
         self.replicated = ReplicatedState(self.replica, self.run_effects)
         self.members = list[str]()
+        self.retention = HistoryRetention(HISTORY_S * 1_000_000_000)
         self.service = CoordinationService(
-            self.replicated, LeaderClient(peers), address, lambda: self.members
+            self.replicated, LeaderClient(peers), address, lambda: self.members, self.retention
         )
-        self.watches = WatchService(self.replicated, self.service)
-        self.duties = LeaderDuties(self.replicated, history_s=20)
+        self.watches = WatchService(self.replicated, self.service, HISTORY_S)
+        self.duties = LeaderDuties(self.replicated, self.retention)
         log.nodes[address] = self
         peers.handlers[address] = self.service.answer_forwarded
 
--- a/tests/gateway/test_golden.py
+++ b/tests/gateway/test_golden.py
@@ -217,6 +217,7 @@
     "read": calls.ReadCell("größe"),
     "revision": calls.ReadGroupRevision("g1."),
     "barrier": calls.ReadBarrier(),
+    "retain": calls.RetainHistory("g1.", 523, 524),
 }
 COORDINATION_REPLIES: dict[str, Any] = {
     "granted": calls.CommandResult(results.LockGranted(41)),
@@ -237,6 +238,8 @@
     "no leader": calls.NotLeader(),
     "overloaded": calls.Overloaded(),
     "in doubt": calls.InDoubt(),
+    "retained": calls.HistoryRetained(True),
+    "not retained": calls.HistoryRetained(False),
 }
 CODECS: dict[str, tuple[dict[str, Any], Callable[[Any], bytes], Callable[[bytes], Any]]] = {
     "letters": (CONSENSUS_MESSAGES, product.encode_consensus_message, product.decode_consensus_message),
--- a/tests/gateway/test_watch_service.py
+++ b/tests/gateway/test_watch_service.py
@@ -8,11 +8,12 @@
 
 import pytest
 
-from meadowworks.controlplane import coordination_service, watch_service
+from meadowworks.controlplane import coordination_service, leader_calls, leader_duties, watch_service
 from meadowworks.controlplane.coordination_service import Unavailable
+from meadowworks.coordination import cells
 from meadowworks.coordination.commands import DiscardHistory, PutCell
 from meadowworks.coordination.results import CellEvent, GroupEvents, HistoryDiscarded
-from tests.gateway.fake_log import Node, cluster
+from tests.gateway.fake_log import HISTORY_S, Node, cluster
 from tests.gateway.helpers import wait_until
 
 A, B = "a:1", "b:1"
@@ -124,3 +125,178 @@
     first = watch_service.limited(found)
     assert [event.revision for event in first.events] == [4]
     assert first.revision == 4
+
+
+LONG = "x" * (watch_service.MAX_EVENT_CHARACTERS // 2)
+
+
+class Clock:
+    """The clock of the leaders."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> int:
+        return int(self.now_s * 1_000_000_000)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(leader_duties, "now_ns", clock)
+    monkeypatch.setattr(leader_calls, "now_ns", clock)
+    return clock
+
+
+def run_duties(clock: Clock, now_s: float, *nodes: Node) -> None:
+    clock.now_s = now_s
+    for node in nodes:
+        node.duties.run()
+
+
+async def put_long(node: Node, count: int) -> None:
+    for number in range(count):
+        await node.service.submit(PutCell("g.k", f"{number}{LONG}"))
+
+
+# review/3: events were discarded by the age of the put, and an answer that ended at its size limit returned
+# a revision of any age. Its watcher got 410 for the revision 15 s after it had received it.
+@pytest.mark.parametrize("watcher_node", [0, 1])
+def test_a_watch_may_resume_for_history_s_from_a_cut_answer(clock: Clock, watcher_node: int) -> None:
+    async def test() -> None:
+        _, _, nodes = cluster(A, B, leader=A)
+        await put_long(nodes[0], 6)
+        run_duties(clock, 1000, *nodes)
+        run_duties(clock, 1037, *nodes)
+        watches, revision = nodes[watcher_node].watches, 1
+        while revision < 6:
+            found = await watches.watch("g.", revision, 0)
+            assert isinstance(found, GroupEvents), revision
+            assert [event.revision for event in found.events] == [revision + 1]
+            revision = found.revision
+            run_duties(clock, clock.now_s + HISTORY_S, *nodes)
+        assert await watches.watch("g.", 1, 0) == HistoryDiscarded()
+
+    run(test)
+
+
+def test_a_watch_may_resume_from_each_event_of_an_answer(clock: Clock) -> None:
+    async def test() -> None:
+        _, _, (a, b) = cluster(A, B, leader=A)
+        await put(a, "v1", "v2", "v3")
+        run_duties(clock, 1000, a)
+        run_duties(clock, 1037, a)
+        assert await b.watches.watch("g.", 1, 0) == GroupEvents(events(2, 3), 3)
+        run_duties(clock, 1037 + HISTORY_S, a)
+        assert await b.watches.watch("g.", 2, 0) == GroupEvents(events(3), 3)
+
+    run(test)
+
+
+def test_a_watch_may_resume_after_a_change_of_leader(clock: Clock) -> None:
+    async def test() -> None:
+        log, _, (a, b) = cluster(A, B, leader=A)
+        await put_long(a, 4)
+        run_duties(clock, 1000, a, b)
+        run_duties(clock, 1037, a, b)
+        assert isinstance(await a.watches.watch("g.", 1, 0), GroupEvents)
+        log.elect(B)
+        run_duties(clock, 1038, a, b)
+        run_duties(clock, 1037 + HISTORY_S, a, b)
+        assert isinstance(await a.watches.watch("g.", 2, 0), GroupEvents)
+
+    run(test)
+
+
+# The state of a node that is cut off stays behind, so what it returns at the end of a wait may be old.
+@pytest.mark.parametrize("has_events", [False, True])
+def test_an_answer_after_a_long_wait_is_retained_by_the_leader(
+    clock: Clock, monkeypatch: pytest.MonkeyPatch, has_events: bool
+) -> None:
+    async def test() -> None:
+        _, _, (a, b) = cluster(A, B, leader=A)
+        await put(a, "v1")
+        b.watches._recent_s = 0.0
+        watch = await waiting_watch(b, after=1)
+        b.is_paused = True
+        await put(a, "v2", "v3", "v4")
+        run_duties(clock, 1000, a)
+        run_duties(clock, 1037, a)
+        if has_events:
+            b.replicated.on_entries(tuple(b.log.entries[1:2]))
+        else:
+            b.watches.shut_down()
+        found = await watch
+        assert isinstance(found, GroupEvents)
+        b.is_paused = False
+        b.apply_all()
+        run_duties(clock, 1037 + HISTORY_S, a)
+        b.watches._is_shutting_down = False
+        assert isinstance(await b.watches.watch("g.", found.revision, 0), GroupEvents)
+
+    run(test)
+
+
+def test_a_recent_answer_needs_no_call_to_the_leader(clock: Clock) -> None:
+    async def test() -> None:
+        _, peers, (a, b) = cluster(A, B, leader=A)
+        await put(a, "v1")
+        watch = await waiting_watch(b, after=1)
+        call_count = len(peers.calls)
+        await put(a, "v2")
+        assert await watch == GroupEvents(events(2), 2)
+        assert len(peers.calls) == call_count
+
+    run(test)
+
+
+def test_old_events_are_not_returned_while_their_discard_is_proposed(clock: Clock) -> None:
+    async def test() -> None:
+        log, _, (a, b) = cluster(A, B, leader=A)
+        await put(a, "v1", "v2", "v3")
+        run_duties(clock, 1000, a)
+        log.holds_back = True
+        run_duties(clock, 1040, a)
+        watch = asyncio.ensure_future(b.watches.watch("g.", 1, 0))
+        await asyncio.sleep(0)
+        log.commit()
+        a.run_effects()
+        assert await watch == HistoryDiscarded()
+
+    run(test)
+
+
+# Otherwise slow watchers would hold the history at its bound, where puts are refused.
+def test_a_watch_that_is_too_late_gets_410_while_half_of_the_bound_is_taken(
+    clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        _, _, (a, _) = cluster(A, B, leader=A)
+        await put_long(a, 6)
+        run_duties(clock, 1000, a)
+        run_duties(clock, 1020, a)
+        assert isinstance(await a.watches.watch("g.", 2, 0), GroupEvents)
+        monkeypatch.setattr(cells, "MAX_EVENTS", 12)
+        run_duties(clock, 1037, a)
+        assert await a.watches.watch("g.", 1, 0) == HistoryDiscarded()
+        assert isinstance(await a.watches.watch("g.", 3, 0), GroupEvents)  # received at 1020
+
+    run(test)
+
+
+def test_a_watcher_with_cut_answers_reaches_the_present_while_puts_go_on() -> None:
+    async def test() -> None:
+        _, _, (a, b) = cluster(A, B, leader=A)
+        await put_long(a, 6)
+        revision, puts = 1, 6
+        while revision < puts and puts < 12:
+            found = await b.watches.watch("g.", revision, 0)
+            assert isinstance(found, GroupEvents)
+            assert found.events[0].revision == revision + 1
+            revision = found.revision
+            if puts < 9:
+                await a.service.submit(PutCell("g.k", f"more {puts}{LONG}"))
+                puts += 1
+        assert revision == puts == 9
+
+    run(test)
--- a/tests/simulation/test_coordination_scenario.py
+++ b/tests/simulation/test_coordination_scenario.py
@@ -23,9 +23,16 @@
     assert run_seed("", 1) == run_seed("", 1)
 
 
-@pytest.mark.parametrize(("name", "rule"), [("read-barrier", "STALE"), ("put-memory", "MIXED")])
-def test_planted_fault_is_found(name: str, rule: str) -> None:
-    violations = [text for seed in range(2) for text in run_seed(name, seed).violations]
+@pytest.mark.parametrize(
+    ("name", "rule", "seeds"),
+    [
+        ("read-barrier", "STALE", (0, 1)),
+        ("put-memory", "MIXED", (0, 1)),
+        ("watch-history", "LOST", (21, 52)),
+    ],
+)
+def test_planted_fault_is_found(name: str, rule: str, seeds: tuple[int, ...]) -> None:
+    violations = [text for seed in seeds for text in run_seed(name, seed).violations]
     assert any(text.startswith(rule) for text in violations)
 
 
