--- a/meadowworks/local/soak/command.py
+++ b/meadowworks/local/soak/command.py
@@ -23,6 +23,8 @@
 NODES = (3, 25)
 CALLERS = (8, 500)
 PROXIES = (0, 500)
+STATE_MB = (0, 10)  # twice, as a value and as an event, within the bounds of keys
+SLOW_READERS = (0, 100)
 EXIT_TERMINATED = 143  # the exit code of a shell after SIGTERM
 
 
@@ -32,6 +34,9 @@
     nodes: Annotated[int, Arg(long=True, help="control-plane nodes, an odd number from 3 to 25")] = 5,
     callers: Annotated[int, Arg(long=True, help="applications, 8 to 500")] = 24,
     proxies: Annotated[int, Arg(long=True, help="proxies that run beside, 0 to 500")] = 0,
+    state_mb: Annotated[int, Arg(long=True, help="MB of values before the faults, 0 to 10")] = 0,
+    slow_readers: Annotated[int, Arg(long=True, help="slow readers of these values, 0 to 100")] = 0,
+    disk_load: Annotated[bool, Arg(long=True, help="another writer uses the disk")] = False,
 ) -> int:
     """Disturb a control plane on loopback, and judge the calls of its applications.
 
@@ -41,6 +46,8 @@
     _check_range("--nodes", nodes, NODES)
     _check_range("--callers", callers, CALLERS)
     _check_range("--proxies", proxies, PROXIES)
+    _check_range("--state-mb", state_mb, STATE_MB)
+    _check_range("--slow-readers", slow_readers, SLOW_READERS)
     if nodes % 2 == 0:
         raise CommandError(f"--nodes must be odd, not {nodes}")
     if reason := find_memory_shortage(nodes + proxies, MEMORY_INFO_FILE.read_text()):
@@ -48,7 +55,7 @@
     layout = SystemLayout(SUBNET, find_free_ports(), nodes, proxies, SPARE_NODES)
     if reason := find_unavailable_address(layout.all_addresses()):
         raise CommandError(reason)
-    return _run(SoakOptions(seed, seconds, callers), layout)
+    return _run(SoakOptions(seed, seconds, callers, state_mb, slow_readers, disk_load), layout)
 
 
 def _check_range(name: str, value: float, bounds: tuple[int, int]) -> None:
--- a/meadowworks/local/soak/run.py
+++ b/meadowworks/local/soak/run.py
@@ -15,7 +15,9 @@
 from meadowworks.local.soak.application import Application
 from meadowworks.local.soak.callers import CallerFactory
 from meadowworks.local.soak.control_plane import ControlPlane
+from meadowworks.local.soak.disk_load import load_disk
 from meadowworks.local.soak.faults import FaultRunner
+from meadowworks.local.soak.large_state import put_large_values, read_slowly
 from meadowworks.local.soak.report import SoakReport, find_tracebacks, find_unanswered_kinds
 from meadowworks.local.soak.side_traffic import change_configuration, run_backends
 from meadowworks.local.system import SystemLayout
@@ -44,11 +46,17 @@
     """What to run, and for how long.
 
     :ivar seconds: the time during which faults begin.
+    :ivar state_mb: the size of the values that are put before the faults.
+    :ivar slow_readers: how many clients read these values slowly.
+    :ivar has_disk_load: whether another writer uses the disk of the nodes.
     """
 
     seed: int
     seconds: float
     callers: int
+    state_mb: int = 0
+    slow_readers: int = 0
+    has_disk_load: bool = False
 
 
 class SoakRun:
@@ -58,7 +66,7 @@
         self._options = options
         self._random = random.Random(options.seed)
         self._control_plane = ControlPlane(layout, folder, random.Random(f"{options.seed}.settings"))
-        self._layout = layout
+        self._layout, self._folder = layout, folder
         self._calls: list[Call] = []
         bounds = HistoryBounds(HISTORY_S * SECOND, RECOVERY_S * SECOND)
         self._report = SoakReport(options.seed, folder, CallHistory(bounds, self._calls))
@@ -70,6 +78,7 @@
             self._control_plane.start_nodes()
             if await self._wait_until_ready():
                 await self._control_plane.start_proxies()
+                await self._put_large_values()
                 await self._disturb_and_close()
             else:
                 self._report.problems.append(f"not all nodes are members after {READY_TIMEOUT_S:g} s")
@@ -88,6 +97,11 @@
             await asyncio.sleep(READY_POLL_INTERVAL_S)
         return False
 
+    async def _put_large_values(self) -> None:
+        addresses, rng = self._control_plane.addresses, random.Random(f"{self._options.seed}.large")
+        if not await put_large_values(addresses, self._options.state_mb, rng):
+            self._report.problems.append("a large value was not acknowledged before the faults")
+
     async def _disturb_and_close(self) -> None:
         factory = CallerFactory(self._options.seed, self._control_plane.application_addresses, self._calls)
         callers = factory.busy_callers(self._options.callers)
@@ -108,11 +122,14 @@
 
     @asynccontextmanager
     async def _side_traffic(self) -> AsyncIterator[None]:
-        """Run configuration changes and backends meanwhile."""
+        """Run configuration changes, backends, slow readers and load on the disk meanwhile."""
         addresses = self._control_plane.addresses
         changes = change_configuration(addresses, random.Random(f"{self._options.seed}.changes"))
         backends = run_backends(self._layout, addresses, random.Random(f"{self._options.seed}.backends"))
-        tasks = [asyncio.create_task(changes), asyncio.create_task(backends)]
+        rng = random.Random(f"{self._options.seed}.slow")
+        readers = [read_slowly(addresses, rng) for _ in range(self._options.slow_readers)]
+        disk_load = [load_disk(self._folder)] if self._options.has_disk_load else []
+        tasks = [asyncio.create_task(work) for work in (changes, backends, *readers, *disk_load)]
         try:
             yield
         finally:
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -37,6 +37,20 @@
     shutil.rmtree(folder)
 
 
+# review/1: lost disks beside a state of some MB ended the control plane.
+def test_no_rule_is_violated_beside_a_large_state_with_slow_readers(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    folder = Path(mkdtemp(dir=MEMORY_FOLDER if MEMORY_FOLDER.is_dir() else tmp_path))
+    monkeypatch.setattr("tempfile.tempdir", str(folder))
+    line = f"soak --seed {SEED} --seconds {SECONDS} --state-mb 6 --slow-readers 4"
+    status = commands.main(line.split())
+    out = capsys.readouterr().out
+    assert status == 0, out
+    print(out)  # shows the counts and warnings
+    shutil.rmtree(folder)
+
+
 @pytest.mark.parametrize(
     ("line", "reason"),
     [
@@ -46,6 +60,8 @@
         ("soak --seed 1 --nodes 1", "--nodes must be from 3 to 25, not 1"),
         ("soak --seed 1 --callers 7", "--callers must be from 8 to 500, not 7"),
         ("soak --seed 1 --proxies 501", "--proxies must be from 0 to 500, not 501"),
+        ("soak --seed 1 --state-mb 11", "--state-mb must be from 0 to 10, not 11"),
+        ("soak --seed 1 --slow-readers 101", "--slow-readers must be from 0 to 100, not 101"),
     ],
 )
 def test_invalid_input_is_reported_on_one_line(
