--- a/meadowworks/attempts/retry_policy.py
+++ b/meadowworks/attempts/retry_policy.py
@@ -12,7 +12,7 @@
 
 MAX_RETRIES = (0, 1, 1, 2)  # by retry policy
 RETRY_ANY_FAILURE = 2  # from this policy on, idempotent calls are retried after any failure
-MIN_ADMISSION_RATIO = 0.1  # lower bound of the ratio in the computation of retry delays
+MIN_ADMISSION_RATIO = 0.1  # the least that is ever ordered; retry delays are computed with no less
 TIE_TOLERANCE = 1.0001  # delays within this factor of the shortest one count as equal
 
 SENT, ANSWERED, NEVER_RAN, FAILED, OVERDUE, CANCELLED = range(6)  # states of an attempt
--- a/meadowworks/consensus/acceptor.py
+++ b/meadowworks/consensus/acceptor.py
@@ -61,7 +61,8 @@
 )
 from meadowworks.runtime.errors import InvariantError
 
-# Bounds the slots of versions that are promised or accepted but not yet known to be committed.
+# Bounds the slots of versions that are promised or accepted but not yet known to be committed: more than
+# operators have under way at any time.
 MAX_UNDECIDED_VERSIONS = 512
 
 
--- a/meadowworks/consensus/lease.py
+++ b/meadowworks/consensus/lease.py
@@ -13,7 +13,7 @@
 from meadowworks.consensus.messages import QueryReply
 from meadowworks.consensus.timing import PEER_EXPIRY_NS
 
-MAX_UNCONFIRMED = 8  # per peer; older ones are dropped
+MAX_UNCONFIRMED = 8  # per peer; older ones are dropped, as more of them add nothing new
 
 
 @dataclass(slots=True)
--- a/meadowworks/consensus/write_queue.py
+++ b/meadowworks/consensus/write_queue.py
@@ -18,7 +18,8 @@
 from meadowworks.consensus.timing import DISK_FAILURE_TIMEOUT_NS, WRITE_RETRY_DELAY_NS
 from meadowworks.consensus.values import AcceptorSlot
 
-# Bounds the items that wait for writes; above it, requests are rejected.
+# Bounds the items that wait for writes; above it, requests are rejected. Some dozens of members send less
+# while a slow disk syncs.
 MAX_AWAITING_WRITE = 1024
 
 
--- a/meadowworks/controlplane/consensus_envelope.py
+++ b/meadowworks/controlplane/consensus_envelope.py
@@ -13,7 +13,7 @@
 from meadowworks.consensus.messages import Reply, Request
 from meadowworks.gossip import messages
 
-INLINE_COMPRESSION_MAX_BYTES = 4096  # larger bodies are compressed in a thread
+INLINE_COMPRESSION_MAX_BYTES = 4096  # larger bodies are compressed in a thread; smaller ones are not worth it
 COMPRESSION_LEVEL = 6
 LARGE_BODY_BYTES = 64 * 1024
 LARGE_BODY_COMPRESSION_LEVEL = 1  # large bodies, such as pieces of a log, would take much longer otherwise
--- a/meadowworks/controlplane/pull_handler.py
+++ b/meadowworks/controlplane/pull_handler.py
@@ -13,7 +13,7 @@
 from meadowworks.runtime.clock import now_ns
 
 MAX_WAIT_MS = 1000  # upper bound of a long poll; longer waits requested by the sender are capped
-PROXY_BATCHING_DELAY_S = 0.15  # collects backend changes, to send proxies fewer replies
+PROXY_BATCHING_DELAY_S = 0.15  # collects backend changes: each reply costs every proxy a round
 MS_PER_SECOND = 1000
 
 
--- a/meadowworks/controlplane/server.py
+++ b/meadowworks/controlplane/server.py
@@ -29,7 +29,7 @@
 
 DISCOVERY_INTERVAL_S = 0.25  # between checks for new peers to pull from
 MAX_HEADER_BYTES = 65536
-HEADER_TIMEOUT_S = 3.0  # limits how long a slow client can hold a connection
+HEADER_TIMEOUT_S = 3.0  # clients send headers at once; a slower one only holds a connection
 IDLE_TIMEOUT_S = 30.0  # longer than the intervals of heartbeats, pulls and consensus requests
 HAND_OVER_SHARE = 0.5  # of the grace period; the rest is for pending requests
 MAX_FINISH_S = 1.5  # upper limit for finishing pending requests
--- a/meadowworks/fleet/discovery.py
+++ b/meadowworks/fleet/discovery.py
@@ -20,7 +20,8 @@
 )
 
 NS_PER_MS = 1_000_000
-# The wait of a long poll, as a share of `refresh_ns`. Short, so that a dead connection is noticed soon.
+# The wait of a long poll, as a share of `refresh_ns`. Short, so that a dead connection is noticed soon;
+# the repeat of an established watch costs discovery nothing.
 WATCH_WAIT_SHARE = 0.2
 MAX_WATCH_WAIT_MS = 60_000
 # Discovery replies within 2 s after the wait is over. A new watch allows the full 2 s, since it may be
--- a/meadowworks/load_balancing/priority_admission.py
+++ b/meadowworks/load_balancing/priority_admission.py
@@ -9,7 +9,7 @@
 
 # Part of the service's ratio that is reserved for each priority; below a quarter it would count as starved.
 RESERVED_SHARE = 0.35
-COUNT_RETENTION = 0.7  # factor of the counts at each tick
+COUNT_RETENTION = 0.7  # factor of the counts at each tick, so that the last few seconds count
 MIN_COUNT = 0.05  # lower counts are removed, with the priorities that are no longer requested
 
 
--- a/meadowworks/load_balancing/service_balancer.py
+++ b/meadowworks/load_balancing/service_balancer.py
@@ -21,8 +21,9 @@
 
 SECOND_NS = 1_000_000_000
 DEFAULT_SLOW_START_NS = 30 * SECOND_NS  # until a backend states the duration
-RESPONSE_SIZE_GAIN = 0.05  # weight of a new response in the moving average of sizes
-REPORT_OVERDUE_NS = 3 * SECOND_NS  # age of a zone's report at which this proxy's own counts replace it
+RESPONSE_SIZE_GAIN = 0.05  # weight of a new response in the moving average: about the last twenty count
+# Age of a zone's report at which this proxy's own counts replace it: two reports have not arrived.
+REPORT_OVERDUE_NS = 3 * SECOND_NS
 REMOVED = "removed"  # state of a backend that is no longer listed, in addition to those of the registry
 
 
--- a/meadowworks/policy/admission.py
+++ b/meadowworks/policy/admission.py
@@ -1,4 +1,4 @@
-"""Admission control: estimates the capacity for each zone, and limits the calls of routes to it."""
+"""Admission control: the median of the zones' capacity estimates, and limits that keep calls under it."""
 
 from statistics import median
 
@@ -12,7 +12,7 @@
 
 class AdmissionControl(ZoneViews):
     def estimate_capacity(self, now: int) -> list[float]:
-        """Return the calls a second to admit in each zone, from all zones' estimates; -1 without reports."""
+        """Return the calls a second to admit in each zone, by the median of the estimates; -1: no report."""
         for view in self.views:
             view.success_rates = {i: rate for i, rate in view.success_rates.items() if rate[2] > now}
         total = sum(rate for view in self.views for rate, _, _ in view.success_rates.values())
--- a/meadowworks/registry/heartbeat_schema.py
+++ b/meadowworks/registry/heartbeat_schema.py
@@ -14,7 +14,7 @@
 from meadowworks.registry.backend_state import DRAINING, UP
 
 MAX_TEXT_LENGTH = 200  # characters of an id or name; bounds the size of a backend in messages
-MAX_CAPACITY = 1e6  # concurrent requests; keeps the weight of a backend in a sane range
+MAX_CAPACITY = 1e6  # concurrent requests, far above any real server; keeps weights in a sane range
 MAX_WARMUP_MS = 3.6e6  # one hour
 FIELD_ALIASES = {"service": "svc", "version": "ver", "slots": "capacity"}  # names in the page's text
 
