--- a/meadowworks/consensus/values.py
+++ b/meadowworks/consensus/values.py
@@ -9,9 +9,9 @@
 if TYPE_CHECKING:
     from meadowworks.consensus.replicated_log import LogState
 
-# The number of past versions whose digests are kept, 16 bytes each, so that a repeated proposal can be compared
-# with the
-# chosen value. A proposal for an older version is assumed to match it (`OperationRunner.decided_outcome`).
+# The number of past versions whose digests are kept, 16 bytes each, so that a repeated proposal can be
+# compared with the chosen value. A proposal for an older version is assumed to match it
+# (`OperationRunner.decided_outcome`).
 HISTORY_LENGTH = 256
 NO_EPOCH_NUMBER = -1  # below the number of every epoch
 MEMBERSHIP_VERSION = 0  # the version whose value is the list of the next epoch's members
