A write counts as a failed disk by its size, not after one second whatever it holds

Change: 100 ns a byte on top of the second, so the bound is on the disk's rate (10 MB/s). Measured: tests/consensus/test_disk_failure.py: the new test (20 MB, 2 s) fails without the change (disk_failed after 1 s); 16 passed in test_disk_failure, test_write_queue and test_replica with it.

--- a/meadowworks/consensus/effects.py
+++ b/meadowworks/consensus/effects.py
@@ -57,6 +57,12 @@
     slots: Mapping[int, AcceptorSlot | None]
     log: LogUpdate | None = None
 
+    def value_bytes(self) -> int:
+        """Return the size of the values, snapshots and log entries to write."""
+        slot_bytes = sum(len(slot.value) for slot in self.slots.values() if slot is not None)
+        committed_bytes = 0 if self.committed is None else len(self.committed.value)
+        return committed_bytes + slot_bytes + (0 if self.log is None else self.log.content_bytes())
+
 
 @dataclass(frozen=True, slots=True)
 class Persist:
--- a/meadowworks/consensus/replicated_log.py
+++ b/meadowworks/consensus/replicated_log.py
@@ -133,6 +133,11 @@
     first_changed_index: int
     entries: tuple[Entry, ...]
 
+    def content_bytes(self) -> int:
+        """Return the size of the snapshot and of the payloads to write."""
+        snapshot_bytes = 0 if self.snapshot is None else len(self.snapshot.content)
+        return snapshot_bytes + sum(len(entry.payload) for entry in self.entries)
+
 
 def best_log_source(sources: Iterable[LogSource | None]) -> LogSource | None:
     """Return the source of the log that is the most up to date, or None if there is no log."""
--- a/meadowworks/consensus/timing.py
+++ b/meadowworks/consensus/timing.py
@@ -37,8 +37,10 @@
 # A longer gap between ticks means that the process was suspended, so silence timeouts are restarted.
 STALL_THRESHOLD_NS = SECOND_NS
 WRITE_RETRY_DELAY_NS = 200 * MILLISECOND_NS  # before a write that the disk rejected is retried
-# The disk is treated as failed if a write takes longer. A large write to a slow disk takes much less.
+# The disk is treated as failed if a write takes longer than this and a time for each byte: a disk that writes
+# 10 MB in a second is slow, not failed.
 DISK_FAILURE_TIMEOUT_NS = SECOND_NS
+DISK_FAILURE_TIMEOUT_PER_BYTE_NS = 100
 # How long a replica tries to finish another replica's work before it checks again whether that is needed.
 FINISH_TIMEOUT_NS = SECOND_NS
 RECONFIGURATION_TIMEOUT_NS = 2 * SECOND_NS
--- a/meadowworks/consensus/write_queue.py
+++ b/meadowworks/consensus/write_queue.py
@@ -15,7 +15,11 @@
 from meadowworks.consensus.log_replica import OwnAppend, OwnVote
 from meadowworks.consensus.messages import Reply
 from meadowworks.consensus.metadata import acceptor_metadata
-from meadowworks.consensus.timing import DISK_FAILURE_TIMEOUT_NS, WRITE_RETRY_DELAY_NS
+from meadowworks.consensus.timing import (
+    DISK_FAILURE_TIMEOUT_NS,
+    DISK_FAILURE_TIMEOUT_PER_BYTE_NS,
+    WRITE_RETRY_DELAY_NS,
+)
 from meadowworks.consensus.values import AcceptorSlot
 
 # Bounds the items that wait for writes; above it, requests are rejected. Some dozens of members send less
@@ -105,7 +109,10 @@
 
     def disk_has_failed(self, now_ns: int) -> bool:
         """Return whether the write in flight has been rejected or incomplete for too long."""
-        return bool(self.write_in_flight_id) and now_ns - self.write_began_ns > DISK_FAILURE_TIMEOUT_NS
+        late_ns = now_ns - self.write_began_ns - DISK_FAILURE_TIMEOUT_NS
+        if self.update_in_flight is None or late_ns <= 0:
+            return False
+        return late_ns > DISK_FAILURE_TIMEOUT_PER_BYTE_NS * self.update_in_flight.value_bytes()
 
     def on_stall(self, now_ns: int) -> None:
         """Restart the timeout of the write in flight after this process was suspended."""
--- a/tests/consensus/test_disk_failure.py
+++ b/tests/consensus/test_disk_failure.py
@@ -7,8 +7,9 @@
 from meadowworks.consensus.effects import CompleteOperation, LogEntry, Persist, SendReply, Undecided
 from meadowworks.consensus.messages import NotAMemberReply, PrepareRequest, PromiseReply
 from meadowworks.consensus.replica import Replica
+from meadowworks.consensus.replicated_log import Entry, ReplicatedLog
 from meadowworks.consensus.timing import DISK_FAILURE_TIMEOUT_NS, WRITE_RETRY_DELAY_NS
-from meadowworks.consensus.values import Ballot
+from meadowworks.consensus.values import Ballot, Term
 from meadowworks.consensus.write_queue import MAX_AWAITING_WRITE
 from tests.consensus.helpers import member, started_replica
 
@@ -53,6 +54,20 @@
     return replica, writes, now_ns
 
 
+# A snapshot of some megabytes takes over a second on a slow disk; all members write theirs at about one time.
+def test_a_large_write_has_time_by_its_size() -> None:
+    acceptor = member("a")
+    acceptor.log = ReplicatedLog(1, Term(1, 1), entries=[Entry(Term(1, 1), b"entry")])
+    replica = started_replica(acceptor)
+    assert replica.acceptor.log is not None
+    replica.acceptor.log.compact(1, bytes(20_000_000))
+    replica.flush(1)
+    run_ticks(replica, 2, 2 * DISK_FAILURE_TIMEOUT_NS, rejects=False)
+    assert not replica.acceptor.disk_failed
+    run_ticks(replica, 2 * DISK_FAILURE_TIMEOUT_NS, 4 * DISK_FAILURE_TIMEOUT_NS, rejects=False)
+    assert replica.acceptor.disk_failed
+
+
 @pytest.mark.parametrize("rejects", [True, False])
 def test_a_failed_disk_ends_vote_and_lease(rejects: bool) -> None:
     replica, _, now_ns = failed_replica(rejects)
