--- a/meadowworks/runtime/server_connection.py
+++ b/meadowworks/runtime/server_connection.py
@@ -8,11 +8,13 @@
 from enum import Enum
 from typing import Any
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from meadowworks.runtime.clock import now_ns
 from meadowworks.runtime.connection_limit import ConnectionLimit
 from meadowworks.runtime.lingering_transport import LingeringTransport
+from meadowworks.runtime.upgrade_offers import resumed_parser
 
 # Headers between the gateway's programs: the id of the call, and the incarnation of the responding process.
 CALL_ID_HEADER = b"x-question"
@@ -21,6 +23,8 @@
 # Below this number of waiting requests the input is still read, so that a disconnect is detected.
 READ_AHEAD_REQUESTS = 8
 ABSOLUTE_FORM_SCHEMES = (b"http://", b"https://")
+CONNECT_METHOD = b"CONNECT"  # ends HTTP on the connection if it is accepted, which it never is
+INVALID_REQUEST = "Invalid HTTP request received."
 HEADER_LINE_OVERHEAD = 4  # bytes in addition to a header's name and value: ": " and CRLF
 
 
@@ -69,7 +73,7 @@
     """One connection of a client.
 
     Enforces limits on the size and time of headers, the time between parts of a body, and the number of
-    pipelined requests. Rejects requests that name several hosts.
+    pipelined requests. Rejects requests that name several hosts. Ignores offers to upgrade.
 
     :ivar on_disconnect: called once when the client disconnects; set by the request being served.
     """
@@ -83,6 +87,7 @@
         self._reading_headers = False
         self._reading_body = False
         self._discarding_input = False
+        self._has_upgrade_offer = False  # the parser ends the newest request before its body
         self._previous_cycle: RequestResponseCycle | None = None  # of the request before the newest one
         self._has_pipelined = False  # a request arrived before the previous response: more may be unread
         self._disconnected = False
@@ -128,7 +133,12 @@
         """Parse bytes, and enforce the limits on the current request."""
         if self._discarding_input:
             return
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        try:
+            self._parse(data)
+        except httptools.HttpParserError:
+            self.logger.warning(INVALID_REQUEST)
+            self.send_400_response(INVALID_REQUEST)
         self._request_bytes += len(data)
         if self._reading_body:  # closes the connection if the body stalls
             self._set_deadline(self._shared.limits.idle_timeout_s)
@@ -136,6 +146,23 @@
         if self._reading_headers and too_large and not self.transport.is_closing():
             self._reject(Rejection.HEADERS_TOO_LARGE)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes, and continue after the headers of each request that offers an upgrade.
+
+        :raises httptools.HttpParserError: the input is invalid.
+        """
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                data = data[offer.args[0] :]
+            if not self._has_upgrade_offer or self._discarding_input or self.transport.is_closing():
+                return
+            self._has_upgrade_offer = False
+            method, version = self.parser.get_method(), self.parser.get_http_version()
+            self.parser = resumed_parser(self, method, version, self.headers)
+
     # -- parser callbacks
 
     def on_message_begin(self) -> None:
@@ -157,6 +184,7 @@
             return
         self._reading_headers = False
         self._reading_body = True
+        self._has_upgrade_offer = self.parser.should_upgrade() and self.parser.get_method() != CONNECT_METHOD
         self._cancel_deadline()
         self._strip_authority()
         if (rejection := self._check_headers()) is not None:
@@ -185,7 +213,7 @@
 
     def on_message_complete(self) -> None:
         """Complete a request, and protect the connection from eviction until its response is complete."""
-        if self._discarding_input:
+        if self._discarding_input or self._has_upgrade_offer:
             return
         self._reading_body = False
         self._cancel_deadline()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -20,6 +20,7 @@
 
 LIMITS = RequestLimits(max_header_bytes=4000, header_timeout_s=0.2, idle_timeout_s=0.3)
 OK = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+H2C_OFFER = b"\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n\r\n"
 CASES = {
     "one valid request": (OK, [200], [b"/a"]),
     "two pipelined requests": (OK + OK.replace(b"/a", b"/b"), [200, 200], [b"/a", b"/b"]),
@@ -62,6 +63,23 @@
         [b"/a", b"/b"],
     ),
     "more pipelined requests than allowed": (OK * 40, [200] * 17, [b"/a"] * 17),
+    "an offer to upgrade": (OK.replace(b"\r\n\r\n", H2C_OFFER) + OK, [200, 200], [b"/a", b"/a"]),
+    "an offer to upgrade to a websocket": (
+        OK.replace(b"\r\n\r\n", b"\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"),
+        [200],
+        [b"/a"],
+    ),
+    "an offer to upgrade that ends the connection": (
+        OK.replace(b"\r\n\r\n", b"\r\nConnection: close, upgrade\r\nUpgrade: h2c\r\n\r\n") + OK,
+        [200],
+        [b"/a"],
+    ),
+    "a request for a tunnel": (b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n" + OK, [400], []),
+    "a malformed body behind an offer to upgrade": (
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked" + H2C_OFFER + b"zz\r\n",
+        [400],
+        [],
+    ),
     "a body too large": (
         b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n" + b"z" * 900,
         [413],
@@ -259,3 +277,43 @@
             writer.close()
 
     asyncio.run(main())
+
+
+UPLOAD = b"GET /inner HTTP/1.1\r\nHost: h\r\nX-Request-Id: inner\r\n\r\n" + b"z" * 200
+FRAMED_UPLOADS = {
+    "length": (b"Content-Length: %d" % len(UPLOAD), UPLOAD),
+    "chunks": (b"Transfer-Encoding: chunked", b"%x\r\n%s\r\n0\r\n\r\n" % (len(UPLOAD), UPLOAD)),
+}
+
+
+# review/4: the parser ended a request with an offer after its headers. It ran with an empty body, and a
+# request that stood in the body ran too.
+@pytest.mark.parametrize("framing", FRAMED_UPLOADS)
+@pytest.mark.parametrize("piece_bytes", [1, 7, 100, 10_000])
+def test_a_request_with_an_offer_to_upgrade_keeps_its_body(framing: str, piece_bytes: int) -> None:
+    received: list[tuple[bytes, Any]] = []
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        received.append((scope["target"], await read_body(receive, 500)))
+        await send_response(send, 200)
+
+    header, body = FRAMED_UPLOADS[framing]
+    request = b"POST /a HTTP/1.1\r\nHost: h\r\n" + header + H2C_OFFER + body
+    data = request + request.replace(b"/a", b"/b") + OK
+
+    async def send_in_pieces() -> bytes:
+        server = HttpServer(app, LIMITS)
+        port = await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for start in range(0, len(data), piece_bytes):
+            writer.write(data[start : start + piece_bytes])
+            await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            answer = await reader.read(-1)
+        writer.close()
+        server.shutdown()
+        return answer
+
+    answer = asyncio.run(send_in_pieces())
+    assert received == [(b"/a", UPLOAD), (b"/b", UPLOAD), (b"/a", b"")]
+    assert answer.count(b"HTTP/1.1 200") == 3
