--- a/meadowworks/config/route_table.py
+++ b/meadowworks/config/route_table.py
@@ -233,10 +233,11 @@
         routes_by_host=routes_by_host,
         max_connections={service["name"]: int(service.get("maxConns", 0)) for service in services},
         health_paths={service["name"]: service.get("healthPath", "/") for service in services},
-        max_header_bytes=limits["maxHeaderBytes"],
-        max_body_bytes=limits["maxBodyBytes"],
-        header_timeout_ms=limits["headerTimeoutMs"],
-        idle_timeout_ms=limits["idleTimeoutMs"],
+        # The schema accepts numbers in quotes, as it does in routes.
+        max_header_bytes=int(limits["maxHeaderBytes"]),
+        max_body_bytes=int(limits["maxBodyBytes"]),
+        header_timeout_ms=float(limits["headerTimeoutMs"]),
+        idle_timeout_ms=float(limits["idleTimeoutMs"]),
         latency_targets_ms=latency_targets_ms,
     )
 
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -11,6 +11,7 @@
 from meadowworks.config.route_table import load_route_table
 from meadowworks.config.validation import InvalidConfiguration, ValidConfiguration, validate_configuration
 from meadowworks.local.system import build_configuration
+from tests.gateway.configurations import CONFIG
 from tests.gateway.mutations import mutants
 
 CONFIG = json.loads(build_configuration(7, {"/a/": ("safe", "s"), "/a/b/": ("unsafe", "t")}))
@@ -67,3 +68,20 @@
         route = table.find_route("LOCAL.example:80", path)
         assert (route.name if route else None) == name
     assert table.find_route("other.example", "/a/x") is None
+
+
+# review/6: a limit in quotes was acknowledged, and no proxy that read it at its start served a request.
+@pytest.mark.parametrize("quote", [str, lambda number: f" {number}"])
+def test_a_configuration_with_numbers_in_quotes_that_is_accepted_is_the_one_without(quote: Any) -> None:
+    document = copy.deepcopy(CONFIG)
+    expected = load_route_table(json.dumps(document).encode())
+    document["limits"] = {name: quote(value) for name, value in document["limits"].items()}
+    document["svcs"][0]["maxConns"] = quote(9)
+    for host in document["vhosts"]:
+        for route in host["prefixes"]:
+            route |= {name: quote(route[name]) for name in ("deadlineMs", "targetMs", "prio")}
+    body = json.dumps(document).encode()
+    assert isinstance(validate_configuration(body), ValidConfiguration)
+    table = load_route_table(body)
+    assert table == expected
+    assert table.header_timeout_ms / 1000 == 0.009
