--- a/meadowworks/consensus/log_replica.py
+++ b/meadowworks/consensus/log_replica.py
@@ -8,20 +8,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import Enum, auto
-from typing import Protocol
-
-from meadowworks.consensus.acceptor import Acceptor
 from meadowworks.consensus.effects import (
     ApplyEntries,
     CommittedEntry,
     CompleteBarrier,
-    Effect,
     LeaderChanged,
     RestoreSnapshot,
 )
 from meadowworks.consensus.follower_progress import NOTHING_IN_FLIGHT, FollowerProgress
+from meadowworks.consensus.log_host import LogHost, OwnAppend, OwnVote, PendingBarrier, Role
 from meadowworks.consensus.log_messages import (
     AppendReply,
     AppendRequest,
@@ -54,63 +49,6 @@
 MAX_BARRIERS = 1024  # that wait for a majority
 
 
-class Role(Enum):
-    """The role of a replica in its term."""
-
-    FOLLOWER = auto()
-    PRE_CANDIDATE = auto()
-    CANDIDATE = auto()
-    LEADER = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class OwnVote:
-    """The term and the own vote are on disk, so votes may be requested."""
-
-    term: Term
-
-
-@dataclass(frozen=True, slots=True)
-class OwnAppend:
-    """The leader's own entries up to `index` are on disk."""
-
-    term: Term
-    index: int
-
-
-@dataclass(frozen=True, slots=True)
-class PendingBarrier:
-    """A read barrier that waits for a majority to confirm its round, and for `index` to be applied."""
-
-    waiter_id: int
-    round_number: int
-    index: int
-
-
-class LogHost(Protocol):
-    """What the log needs from the replica that it is part of."""
-
-    acceptor: Acceptor
-
-    def emit(self, effect: Effect) -> None:
-        """Add an effect."""
-
-    def send_log_request(self, member_id: str, address: str, request: LogRequest) -> None:
-        """Send a request; its reply or failure is passed to `LogReplica`."""
-
-    def reads_positions(self, member_id: str) -> bool:
-        """Return whether a member's release reads messages with positions in place of states."""
-
-    def defer_until_durable(self, item: OwnVote | OwnAppend) -> None:
-        """Pass an item to `LogReplica.on_durable` once all current changes are on disk."""
-
-    def random_fraction(self) -> float:
-        """Return a random number from 0 to 1."""
-
-    def log(self, event: str, **fields: str | int) -> None:
-        """Request a log line."""
-
-
 class LogReplica:
     """A replica's part in the replicated log.
 
@@ -491,13 +429,16 @@
             return SnapshotOfferRequest(log.epoch, log.term, own_id, log.base, self._round_number)
         return SnapshotAppendRequest(log.epoch, log.term, own_id, log.snapshot, self._round_number)
 
+    def _progress_of(self, now_ns: int, member_id: str, term: Term) -> FollowerProgress | None:
+        """Return the progress of a follower that has replied; None if this replica leads no such term."""
+        if term > self.log.term:
+            self._enter_term(now_ns, term)
+            return None
+        return self.followers.get(member_id) if self.is_leader and term == self.log.term else None
+
     def _on_pending_reply(self, now_ns: int, member_id: str, reply: SnapshotPendingReply) -> None:
         """Offer the snapshot again with the next heartbeat, or at once if a barrier waits."""
-        if reply.term > self.log.term:
-            self._enter_term(now_ns, reply.term)
-            return
-        progress = self.followers.get(member_id)
-        if not self.is_leader or progress is None or reply.term < self.log.term:
+        if (progress := self._progress_of(now_ns, member_id, reply.term)) is None:
             return
         progress.on_pending(now_ns, reply.round_number)
         self._complete_barriers()
@@ -505,11 +446,7 @@
             self._send_to(now_ns, member_id, progress)
 
     def _on_append_reply(self, now_ns: int, member_id: str, reply: AppendReply) -> None:
-        if reply.term > self.log.term:
-            self._enter_term(now_ns, reply.term)
-            return
-        progress = self.followers.get(member_id)
-        if not self.is_leader or progress is None or reply.term < self.log.term:
+        if (progress := self._progress_of(now_ns, member_id, reply.term)) is None:
             return
         if reply.accepted:
             progress.on_accepted(now_ns, reply.last_index, reply.round_number)
--- a/meadowworks/consensus/operation_runner.py
+++ b/meadowworks/consensus/operation_runner.py
@@ -18,8 +18,9 @@
 )
 from meadowworks.consensus.lease import LeaseTracker
 from meadowworks.consensus.log_fetcher import LogFetcher
+from meadowworks.consensus.log_host import OwnAppend, OwnVote
 from meadowworks.consensus.log_messages import LogRequest
-from meadowworks.consensus.log_replica import LogReplica, OwnAppend, OwnVote
+from meadowworks.consensus.log_replica import LogReplica
 from meadowworks.consensus.membership import decode_member_list, encode_member_list
 from meadowworks.consensus.membership_monitor import MembershipMonitor
 from meadowworks.consensus.messages import (
@@ -200,7 +201,7 @@
         log = self.acceptor.log
         return NO_EPOCH_NUMBER if log is None else log.epoch
 
-    # -- the replicated log's access to this replica (`log_replica.LogHost`)
+    # -- the replicated log's access to this replica (`log_host.LogHost`)
 
     def emit(self, effect: Effect) -> None:
         """Add an effect."""
--- a/meadowworks/consensus/replica.py
+++ b/meadowworks/consensus/replica.py
@@ -19,8 +19,8 @@
     SendReply,
     Undecided,
 )
+from meadowworks.consensus.log_host import OwnAppend, OwnVote
 from meadowworks.consensus.log_messages import LOG_REPLY_TYPES, LOG_REQUEST_TYPES, SnapshotPendingReply
-from meadowworks.consensus.log_replica import OwnAppend, OwnVote
 from meadowworks.consensus.membership import encode_member_list
 from meadowworks.consensus.membership_monitor import (
     CompleteReconfiguration,
--- a/meadowworks/consensus/write_queue.py
+++ b/meadowworks/consensus/write_queue.py
@@ -12,7 +12,7 @@
 
 from meadowworks.consensus.acceptor import Acceptor
 from meadowworks.consensus.effects import Persist, StateUpdate
-from meadowworks.consensus.log_replica import OwnAppend, OwnVote
+from meadowworks.consensus.log_host import OwnAppend, OwnVote
 from meadowworks.consensus.messages import Reply
 from meadowworks.consensus.metadata import acceptor_metadata
 from meadowworks.consensus.timing import (
--- a/meadowworks/modelcheck/models/replicated_log/frozen.py
+++ b/meadowworks/modelcheck/models/replicated_log/frozen.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from meadowworks.consensus.acceptor import Acceptor
-from meadowworks.consensus.log_replica import Role
+from meadowworks.consensus.log_host import Role
 from meadowworks.consensus.reconfiguration import Reconfiguration
 from meadowworks.consensus.values import Epoch, Term
 from meadowworks.consensus.write_queue import PeerReply
--- a/meadowworks/modelcheck/models/replicated_log/node.py
+++ b/meadowworks/modelcheck/models/replicated_log/node.py
@@ -13,6 +13,7 @@
     RestoreSnapshot,
 )
 from meadowworks.consensus.log_fetcher import LogFetcher
+from meadowworks.consensus.log_host import OwnAppend, OwnVote
 from meadowworks.consensus.log_messages import (
     AppendReply,
     CampaignRequest,
@@ -21,7 +22,7 @@
     LogVoteRequest,
     SnapshotPendingReply,
 )
-from meadowworks.consensus.log_replica import LogReplica, OwnAppend, OwnVote
+from meadowworks.consensus.log_replica import LogReplica
 from meadowworks.consensus.log_timing import HEARTBEAT_INTERVAL_NS, MIN_ELECTION_TIMEOUT_NS
 from meadowworks.consensus.messages import (
     InstalledReply,
@@ -96,7 +97,7 @@
 
 
 class Node:
-    """Implements `log_replica.LogHost` and `log_fetcher.FetchHost`.
+    """Implements `log_host.LogHost` and `log_fetcher.FetchHost`.
 
     The world takes what the node has sent and applied after each step.
     """
--- a/meadowworks/modelcheck/models/replicated_log/world.py
+++ b/meadowworks/modelcheck/models/replicated_log/world.py
@@ -7,8 +7,8 @@
 from typing import Any, NamedTuple
 
 from meadowworks.consensus.acceptor import Acceptor
+from meadowworks.consensus.log_host import Role
 from meadowworks.consensus.log_messages import LogVoteReply, LogVoteRequest
-from meadowworks.consensus.log_replica import Role
 from meadowworks.consensus.reconfiguration import Reconfiguration
 from meadowworks.consensus.replicated_log import ReplicatedLog
 from meadowworks.consensus.values import Epoch, Term
--- a/tests/consensus/test_log_transfer.py
+++ b/tests/consensus/test_log_transfer.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from meadowworks.consensus.log_fetcher import Fetch
 from meadowworks.consensus.log_sender import MAX_PIECE_BYTES
 from meadowworks.consensus.timing import MILLISECOND_NS, SECOND_NS
 from tests.consensus.log_cluster import LogCluster, Node
@@ -40,6 +41,15 @@
     node.start()
 
 
+def fetch_in_progress(cluster: LogCluster, node: Node) -> Fetch:
+    """Wait until a node has received a part of a log, and return the transfer."""
+    fetcher = node.replica.log_fetcher
+    assert fetcher is not None
+    cluster.run_until(lambda: fetcher.fetch is not None and fetcher.fetch.download.received_bytes > 1_000_000)
+    assert fetcher.fetch is not None
+    return fetcher.fetch
+
+
 def has_log_of(node: Node, other: Node) -> bool:
     return node.up and node.replica.acceptor.may_vote() and node.applied == other.applied
 
@@ -96,11 +106,8 @@
     cluster = cluster_with_state(8, size=5, seed=seed)
     victim = cluster.nodes[0]
     lose_disk(cluster, victim)
-    fetcher = victim.replica.log_fetcher
-    assert fetcher is not None
-    cluster.run_until(lambda: fetcher.fetch is not None and fetcher.fetch.download.received_bytes > 1_000_000)
-    assert fetcher.fetch is not None
-    sender = cluster.by_address[fetcher.fetch.address]
+    fetch = fetch_in_progress(cluster, victim)
+    sender = cluster.by_address[fetch.address]
     sender.kill()
     cluster.run(300 * MILLISECOND_NS)
     if seed % 2:
@@ -116,11 +123,8 @@
     cluster = cluster_with_state(8)
     victim = cluster.nodes[0]
     lose_disk(cluster, victim)
-    fetcher = victim.replica.log_fetcher
-    assert fetcher is not None
-    cluster.run_until(lambda: fetcher.fetch is not None and fetcher.fetch.download.received_bytes > 1_000_000)
-    assert fetcher.fetch is not None
-    sender = cluster.by_address[fetcher.fetch.address]
+    fetch = fetch_in_progress(cluster, victim)
+    sender = cluster.by_address[fetch.address]
     for number in range(3):
         cluster.commit(b"meanwhile %d" % number)
         sender.compact()
@@ -128,7 +132,7 @@
     assert log is not None
     assert log.retained is not None
     assert log.retained.snapshot is not log.snapshot
-    received_bytes = fetcher.fetch.download.received_bytes
+    received_bytes = fetch.download.received_bytes
     cluster.run_until(lambda: has_log_of(victim, sender), timeout_s=20.0)
     assert received_bytes > 1_000_000
     cluster.run(10 * SECOND_NS)
--- a/tests/simulation/test_coordination_faults_alone.py
+++ b/tests/simulation/test_coordination_faults_alone.py
@@ -6,8 +6,9 @@
 
 from meadowworks.consensus.acceptor import Acceptor
 from meadowworks.consensus.effects import Effect
+from meadowworks.consensus.log_host import OwnAppend, OwnVote
 from meadowworks.consensus.log_messages import AppendReply, LogRequest, LogVoteReply
-from meadowworks.consensus.log_replica import LogReplica, OwnAppend, OwnVote
+from meadowworks.consensus.log_replica import LogReplica
 from meadowworks.consensus.log_timing import MAX_ELECTION_TIMEOUT_NS
 from meadowworks.consensus.replicated_log import Entry, ReplicatedLog
 from meadowworks.consensus.values import NOTHING_COMMITTED, Epoch, Term
