--- a/meadowworks/runtime/buffered_stream.py
+++ b/meadowworks/runtime/buffered_stream.py
@@ -107,7 +107,9 @@
         """
         if self._transport.is_closing():
             raise httpcore.WriteError("the connection is closed")
-        if buffer:
+        if len(buffer) <= WRITE_BYTES and not self._unsent:
+            self._transport.write(buffer)
+        elif buffer:
             self._unsent.append(memoryview(buffer))
             self._send()
 
