A log that was fetched for an epoch which is not joined hinders no later transfer

Callers would see: a control plane that stays behind its leader for good, and answers watches with 503. Change: an offer starts a transfer of its own where the present one is complete; an install request uses a complete one at once.

--- a/meadowworks/consensus/log_fetcher.py
+++ b/meadowworks/consensus/log_fetcher.py
@@ -74,13 +74,14 @@
         if is_first or fetch.download.has_failed:
             # Otherwise the required position stays, so that the transfer ends while entries are appended.
             fetch.install, fetch.download.required = request, source.position
-            if fetch.download.is_complete:
-                self._finish(now_ns, fetch)
+        if fetch.download.is_complete:
+            self._finish(now_ns, fetch)
 
     def fetch_snapshot(self, now_ns: int, epoch: int, address: str) -> None:
         """Fetch a snapshot of the leader, whose log does not go back far enough."""
         self._epoch = epoch
-        if self._current(now_ns, address) is None:
+        fetch = self._current(now_ns, address)
+        if fetch is None or fetch.download.is_complete:  # a complete one was for an epoch that is not joined
             self._start(now_ns, address, LogDownload(self._log, None), None)
 
     def on_reply(self, now_ns: int, fetch_number: int, reply: TransferReply) -> None:
